--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,2 @@
+/** Never-runnable check, team quotas with borrowing and overload refusal. */
+export {};
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurements of decisions, waiting time, packing and control cost. A development tool. */
+export {};
--- /dev/null
+++ b/packages/caller-api/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP interface for callers and operators. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The cardamomfield command. */
+export {};
--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,2 @@
+/** Monotonic and wall time, sleeping until a deadline, and seeded randomness, behind interfaces. */
+export {};
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+/** Inventory and rules: acceptance, following, publishing and spreading between peers. */
+export {};
--- /dev/null
+++ b/packages/entry-host/src/index.ts
@@ -0,0 +1,2 @@
+/** Composition, start and graceful shutdown of the entry daemon. */
+export {};
--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,2 @@
+/** The base class of all failures and the common failure types. */
+export {};
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,2 @@
+/** Structured logs in JSON lines or text. */
+export {};
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,2 @@
+/** Counters, gauges and histograms sent by StatsD over UDP. */
+export {};
--- /dev/null
+++ b/packages/ownership/src/index.ts
@@ -0,0 +1,2 @@
+/** Authority over worker groups: voters, claims, takeover, handover and assignment. */
+export {};
--- /dev/null
+++ b/packages/peer-protocol/src/index.ts
@@ -0,0 +1,2 @@
+/** Schemas of the messages between entry hosts. */
+export {};
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+/** Connections between entry hosts: one task for each peer, heartbeats, replacement of silent connections. */
+export {};
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,2 @@
+/** Capacity index, placement policies, queues, gangs and preemption. */
+export {};
--- /dev/null
+++ b/packages/platform-http/src/index.ts
@@ -0,0 +1,2 @@
+/** The platform interfaces over HTTP. */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Interfaces to the platform: log service, host list and workers. */
+export {};
--- /dev/null
+++ b/packages/requests/src/index.ts
@@ -0,0 +1,2 @@
+/** The coordinator: the life of a request from submission to the final answer. */
+export {};
--- /dev/null
+++ b/packages/retries/src/index.ts
@@ -0,0 +1,2 @@
+/** Retry budget, absolute deadlines and matching of replies. */
+export {};
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+/** Flags and environment variables read into one checked schema. */
+export {};
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,2 @@
+/** Schemas and inferred types shared by all packages. */
+export {};
