Add shared types, errors, clock, logs, metrics, time line and platform interfaces

These are the contracts that the other packages are written against: every platform call says whether a failure proves that it had no effect.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,2 +1,6 @@
-/** Monotonic and wall time, sleeping until a deadline, and seeded randomness, behind interfaces. */
-export {};
+/** Time and randomness behind interfaces, so that tests can own both. */
+export * from './clock.js';
+export * from './manual_clock.js';
+export * from './random_source.js';
+export * from './seeded_random_source.js';
+export * from './system_clock.js';
--- /dev/null
+++ b/packages/clock/src/system_clock.ts
@@ -0,0 +1,47 @@
+import type {Clock} from './clock.js';
+
+/** Longest delay that Node's timers take without overflow. */
+const MAXIMUM_TIMER_MILLISECONDS = 2 ** 31 - 1;
+
+/** The machine's own clocks. */
+export class SystemClock implements Clock {
+  private constructor() {}
+
+  static create(): SystemClock {
+    return new SystemClock();
+  }
+
+  monotonicNow(): number {
+    return performance.now();
+  }
+
+  wallNow(): number {
+    return Date.now();
+  }
+
+  async sleepUntil(
+    monotonicDeadline: number,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    // Timers may fire up to a millisecond early, so the deadline is checked
+    // again after each one.
+    while (!signal?.aborted) {
+      const remaining = monotonicDeadline - this.monotonicNow();
+      if (remaining <= 0) return;
+      await this.wait(remaining, signal);
+    }
+  }
+
+  private wait(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      const finish = () => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      const delay = Math.min(milliseconds, MAXIMUM_TIMER_MILLISECONDS);
+      const timer = setTimeout(finish, delay);
+      signal?.addEventListener('abort', finish);
+    });
+  }
+}
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -1,2 +1,4 @@
-/** Counters, gauges and histograms sent by StatsD over UDP. */
-export {};
+/** Counters, gauges and timings, kept in memory or sent by StatsD. */
+export * from './memory_metrics.js';
+export * from './metrics.js';
+export * from './statsd_metrics.js';
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,2 +1,3 @@
 /** Schemas of the messages between entry hosts. */
-export {};
+export * from './peer_method.js';
+export * from './peer_network.js';
--- /dev/null
+++ b/packages/platform/src/worker_task.ts
@@ -0,0 +1,25 @@
+import {ResourceVector, TaskIdentity} from '@cardamomfield/types';
+import {z} from 'zod';
+import {TaskPhase} from './task_phase.js';
+
+/** A task as its worker shows it. */
+export const WorkerTask = z.object({
+  task: TaskIdentity,
+  epoch: z.int().nonnegative(),
+  coordinator: z.string(),
+  team: z.string(),
+  service: z.string(),
+  kind: z.string(),
+  idempotent: z.boolean(),
+  demand: ResourceVector,
+  phase: TaskPhase,
+  /** Wall-clock instants on the worker's clock. */
+  startedAt: z.int(),
+  endedAt: z.int().optional(),
+  leaseDeadline: z.int(),
+  /** What the task produced, or the cause of its failure. */
+  value: z.json().optional(),
+  /** Measured usage; it lags behind the truth. */
+  usage: ResourceVector.optional(),
+});
+export type WorkerTask = z.infer<typeof WorkerTask>;
--- a/packages/timeline/src/index.ts
+++ b/packages/timeline/src/index.ts
@@ -1,2 +1,5 @@
-/** Events of one process with a hybrid logical clock, and merging the events of several processes in causal order. */
-export {};
+/** Events of one process, and merging the events of several. */
+export * from './compare_hybrid_time.js';
+export * from './hybrid_time.js';
+export * from './timeline.js';
+export * from './timeline_event.js';
--- /dev/null
+++ b/packages/types/src/failure_description.ts
@@ -0,0 +1,9 @@
+import {z} from 'zod';
+
+/** A failure as plain data. */
+export const FailureDescription = z.object({
+  code: z.string(),
+  message: z.string(),
+  details: z.record(z.string(), z.unknown()).optional(),
+});
+export type FailureDescription = z.infer<typeof FailureDescription>;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,2 +1,19 @@
 /** Schemas and inferred types shared by all packages. */
-export {};
+export * from './configuration_state.js';
+export * from './failure_description.js';
+export * from './final_answer.js';
+export * from './format_task_identity.js';
+export * from './name.js';
+export * from './placement_policy_name.js';
+export * from './rack.js';
+export * from './request_key.js';
+export * from './resource_names.js';
+export * from './resource_vector.js';
+export * from './rule.js';
+export * from './service.js';
+export * from './submission.js';
+export * from './task_identity.js';
+export * from './task_result.js';
+export * from './team.js';
+export * from './work_kind.js';
+export * from './worker.js';
--- /dev/null
+++ b/packages/types/src/task_result.ts
@@ -0,0 +1,10 @@
+import {z} from 'zod';
+
+/** What one task produced. */
+export const TaskResult = z.strictObject({
+  index: z.int().nonnegative(),
+  succeeded: z.boolean(),
+  worker: z.string(),
+  value: z.json(),
+});
+export type TaskResult = z.infer<typeof TaskResult>;
