--- a/packages/log-follower/src/index.ts
+++ b/packages/log-follower/src/index.ts
@@ -1,2 +1,3 @@
-/** Reads a log stream into a state by a pure fold, with snapshots, and resolves appends whose answer was lost. */
-export {};
+/** Reads a log stream into a state by a pure fold. */
+export * from './followed_stream.js';
+export * from './stream_fold.js';
--- /dev/null
+++ b/packages/peer-protocol/src/heartbeat_section.ts
@@ -0,0 +1,7 @@
+import type {z} from 'zod';
+
+/** One named part of the heartbeat, filled and read by one package. */
+export interface HeartbeatSection<Value> {
+  readonly name: string;
+  readonly schema: z.ZodType<Value>;
+}
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,3 +1,4 @@
 /** Schemas of the messages between entry hosts. */
+export * from './heartbeat_section.js';
 export * from './peer_method.js';
 export * from './peer_network.js';
--- a/packages/peer-protocol/src/peer_network.ts
+++ b/packages/peer-protocol/src/peer_network.ts
@@ -1,5 +1,6 @@
 import type {TypedError} from '@cardamomfield/errors';
 import type {Either} from 'purify-ts';
+import type {HeartbeatSection} from './heartbeat_section.js';
 import type {PeerMethod} from './peer_method.js';
 
 /** Identity of the caller of a procedure, as its `hello` gave it. */
@@ -36,4 +37,19 @@
       parameters: Parameters,
     ) => Promise<Either<TypedError, Result>>,
   ): void;
+
+  /** Sends the provider's value with every heartbeat. */
+  publish<Value>(section: HeartbeatSection<Value>, provider: () => Value): void;
+
+  /** The last value that a peer sent, with the monotonic instant it came. */
+  latest<Value>(
+    peer: string,
+    section: HeartbeatSection<Value>,
+  ): {value: Value; receivedAt: number} | undefined;
+
+  /** Monotonic instant of the last message from a peer, if there was one. */
+  lastHeard(peer: string): number | undefined;
+
+  /** Calls the listener when a peer comes or goes; returns an unsubscriber. */
+  onPeersChange(listener: () => void): () => void;
 }
