--- /dev/null
+++ b/packages/peer-protocol/src/key_registration.ts
@@ -0,0 +1,14 @@
+import {Name, RequestKey} from '@cardamomfield/types';
+import {z} from 'zod';
+
+/** Which entry host coordinates the request of a key. */
+export const KeyRegistration = z.strictObject({
+  key: RequestKey,
+  /** Hash of the request body, to tell a repeat from a conflict. */
+  bodyHash: z.string(),
+  coordinator: Name,
+  coordinatorIncarnation: z.string(),
+  /** Wall-clock instant after which the entry may be dropped. */
+  expiresAt: z.int(),
+});
+export type KeyRegistration = z.infer<typeof KeyRegistration>;
--- /dev/null
+++ b/packages/peer-protocol/src/task_update.ts
@@ -0,0 +1,52 @@
+import {TaskIdentity} from '@cardamomfield/types';
+import {z} from 'zod';
+
+const base = {task: TaskIdentity, epoch: z.int().nonnegative()};
+const reason = z.string();
+
+/**
+ * What an owner reports of one attempt. `not-started` proves that no start
+ * took effect; `displaced` that it ran and was stopped on purpose; `lost` that
+ * it may have run and runs no longer; `in-doubt` that nothing can be proved.
+ */
+export const TaskUpdate = z.discriminatedUnion('stage', [
+  z.strictObject({
+    ...base,
+    stage: z.literal('running'),
+    worker: z.string(),
+  }),
+  z.strictObject({
+    ...base,
+    stage: z.literal('ended'),
+    worker: z.string(),
+    succeeded: z.boolean(),
+    value: z.json(),
+  }),
+  z.strictObject({
+    ...base,
+    stage: z.literal('not-started'),
+    reason,
+    /** Wall-clock instant before which another try is pointless. */
+    retryAfter: z.int().optional(),
+  }),
+  z.strictObject({
+    ...base,
+    stage: z.literal('displaced'),
+    worker: z.string(),
+    reason,
+    checkpoint: z.json().optional(),
+  }),
+  z.strictObject({
+    ...base,
+    stage: z.literal('lost'),
+    worker: z.string(),
+    reason,
+  }),
+  z.strictObject({
+    ...base,
+    stage: z.literal('in-doubt'),
+    worker: z.string(),
+    reason,
+  }),
+]);
+export type TaskUpdate = z.infer<typeof TaskUpdate>;
