Add the coordinator of requests and the registrar of keys

A request's answer is assembled from the conclusion of each task; once an attempt may have run, the task can no longer be called not run.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,6 +1,7 @@
 /** Time and randomness behind interfaces, so that tests can own both. */
 export * from './clock.js';
 export * from './manual_clock.js';
+export * from './notifier.js';
 export * from './random_source.js';
 export * from './seeded_random_source.js';
 export * from './system_clock.js';
--- a/packages/peer-protocol/src/key_registration.ts
+++ b/packages/peer-protocol/src/key_registration.ts
@@ -8,6 +8,11 @@
   bodyHash: z.string(),
   coordinator: Name,
   coordinatorIncarnation: z.string(),
+  /**
+   * Incarnation of a dead coordinator that this one replaces, after proof
+   * that nothing of the earlier request is live.
+   */
+  replaces: z.string().optional(),
   /** Wall-clock instant after which the entry may be dropped. */
   expiresAt: z.int(),
 });
--- a/packages/peer-protocol/src/owner_summary.ts
+++ b/packages/peer-protocol/src/owner_summary.ts
@@ -18,6 +18,7 @@
 
 /** What an owner has to offer and how long work waits there. */
 export const OwnerSummary = z.strictObject({
+  incarnation: z.string(),
   /** Refuses new work; set during shutdown. */
   isLeaving: z.boolean(),
   offers: z.array(Offer),
--- /dev/null
+++ b/packages/requests/src/orphan_lookup.ts
@@ -0,0 +1,99 @@
+import {
+  NotFoundError,
+  type TypedError,
+  UnavailableError,
+} from '@cardamomfield/errors';
+import type {KnownTask, RequestView} from '@cardamomfield/peer-protocol';
+import type {FinalAnswer} from '@cardamomfield/types';
+import {type Either, Left, Right} from 'purify-ts';
+import {assembleAnswer} from './assemble_answer.js';
+import type {IntentJournal} from './intent_journal.js';
+import type {TaskConclusion} from './task_conclusion.js';
+import type {TaskFinder} from './task_finder.js';
+
+interface OrphanLookupOptions {
+  journal: IntentJournal;
+  finder: TaskFinder;
+}
+
+/** Requests whose coordinator is gone: what the log and the workers tell. */
+export class OrphanLookup {
+  private constructor(private readonly options: OrphanLookupOptions) {}
+
+  static create(options: OrphanLookupOptions): OrphanLookup {
+    return new OrphanLookup(options);
+  }
+
+  /**
+   * The state as far as it can be proved. `NotFoundError` proves that nothing
+   * of the request is live or recorded; `UnavailableError` that it can't be
+   * told yet.
+   */
+  async show(key: string): Promise<Either<TypedError, RequestView>> {
+    const entry = this.options.journal.find(key);
+    if (entry?.answer) {
+      return Right(finishedView(key, entry.coordinator, entry.answer));
+    }
+    const report = await this.options.finder.find(key);
+    const [first] = report.tasks;
+    if (first) return Right(viewOf(key, report.tasks));
+    if (!report.isComplete) {
+      const message = `the workers that may run ${key} can't be asked yet`;
+      return Left(UnavailableError.create(message));
+    }
+    if (entry) return Right(finishedView(key, entry.coordinator, unknown(key)));
+    return Left(NotFoundError.create(`no request has the key ${key}`));
+  }
+}
+
+function unknown(key: string): FinalAnswer {
+  const message = 'its entry host died and no worker knows the request';
+  return {outcome: 'unknown', key, reason: {code: 'uncertain', message}};
+}
+
+function finishedView(
+  key: string,
+  coordinator: string,
+  answer: FinalAnswer,
+): RequestView {
+  return {key, phase: 'finished', coordinator, revision: 0, tasks: [], answer};
+}
+
+function viewOf(key: string, tasks: readonly KnownTask[]): RequestView {
+  const isLive = tasks.some(task => task.isLive);
+  const conclusions = latestOfEach(tasks).flatMap(conclusionOf);
+  return {
+    key,
+    phase: isLive ? 'running' : 'finished',
+    coordinator: tasks[0]?.coordinator ?? '',
+    revision: 0,
+    tasks: tasks.map(known => ({
+      index: known.task.index,
+      attempt: known.task.attempt,
+      stage: known.update?.stage ?? 'queued',
+    })),
+    ...(isLive ? {} : {answer: assembleAnswer(key, conclusions)}),
+  };
+}
+
+/** The latest attempt of each task. */
+function latestOfEach(tasks: readonly KnownTask[]): KnownTask[] {
+  const latest = new Map<number, KnownTask>();
+  for (const known of tasks) {
+    const other = latest.get(known.task.index);
+    const isNewer = !other || other.task.attempt < known.task.attempt;
+    if (isNewer) latest.set(known.task.index, known);
+  }
+  return [...latest.values()];
+}
+
+function conclusionOf(known: KnownTask): TaskConclusion[] {
+  const update = known.update;
+  if (update?.stage === 'ended') {
+    const {worker, succeeded, value} = update;
+    const result = {index: known.task.index, worker, succeeded, value};
+    return [{kind: 'ran', result}];
+  }
+  const message = 'the task may have run; its result is not known';
+  return [{kind: 'unknown', reason: {code: 'uncertain', message}}];
+}
--- /dev/null
+++ b/packages/requests/src/remote_requests.ts
@@ -0,0 +1,90 @@
+import type {Clock} from '@cardamomfield/clock';
+import {
+  type PeerNetwork,
+  type RequestView,
+  SHOW_REQUEST,
+  STOP_REQUEST,
+} from '@cardamomfield/peer-protocol';
+
+/** Time for a host to answer at once. */
+const ASK_TIMEOUT_MILLISECONDS = 1_500;
+
+/** Keys whose coordinator is remembered; the oldest go first. */
+const MAXIMUM_REMEMBERED = 10_000;
+
+interface RemoteRequestsOptions {
+  network: PeerNetwork;
+  clock: Clock;
+}
+
+interface WaitOptions {
+  afterRevision?: number;
+  waitUntil?: number;
+}
+
+interface RemoteView {
+  view: RequestView;
+  bodyHash: string;
+}
+
+/** Requests that other entry hosts coordinate. */
+export class RemoteRequests {
+  private readonly coordinators = new Map<string, string>();
+
+  private constructor(private readonly options: RemoteRequestsOptions) {}
+
+  static create(options: RemoteRequestsOptions): RemoteRequests {
+    return new RemoteRequests(options);
+  }
+
+  /** The request's state at its coordinator, or undefined if nobody has it. */
+  async show(key: string, wait: WaitOptions): Promise<RemoteView | undefined> {
+    const remembered = this.coordinators.get(key);
+    if (remembered !== undefined) {
+      const answer = await this.ask(remembered, key, wait);
+      if (answer) return answer;
+      this.coordinators.delete(key);
+    }
+    const peers = this.options.network.livePeers();
+    const answers = await Promise.all(
+      peers.map(peer => this.ask(peer, key, {})),
+    );
+    const found = answers.find(answer => answer !== undefined);
+    if (found) this.remember(key, found.view.coordinator);
+    return found;
+  }
+
+  /** Cancels the request at its coordinator. */
+  async cancel(key: string): Promise<RequestView | undefined> {
+    const found = await this.show(key, {});
+    if (!found) return undefined;
+    const {network, clock} = this.options;
+    const deadline = clock.monotonicNow() + ASK_TIMEOUT_MILLISECONDS;
+    const peer = found.view.coordinator;
+    const answer = await network.call(peer, STOP_REQUEST, {key}, deadline);
+    return answer.toMaybe().extract()?.view ?? found.view;
+  }
+
+  private async ask(
+    peer: string,
+    key: string,
+    wait: WaitOptions,
+  ): Promise<RemoteView | undefined> {
+    const {network, clock} = this.options;
+    const held = Math.max(0, (wait.waitUntil ?? 0) - clock.wallNow());
+    const deadline = clock.monotonicNow() + ASK_TIMEOUT_MILLISECONDS + held;
+    const parameters = {key, ...wait};
+    const answer = await network.call(peer, SHOW_REQUEST, parameters, deadline);
+    const result = answer.toMaybe().extract();
+    if (!result?.view) return undefined;
+    return {view: result.view, bodyHash: result.bodyHash};
+  }
+
+  private remember(key: string, coordinator: string): void {
+    if (this.coordinators.size >= MAXIMUM_REMEMBERED) {
+      const [oldest] = this.coordinators.keys();
+      if (oldest !== undefined) this.coordinators.delete(oldest);
+    }
+    this.coordinators.set(key, coordinator);
+  }
+}
--- /dev/null
+++ b/packages/requests/src/request_run.ts
@@ -0,0 +1,101 @@
+import type {TypedError} from '@cardamomfield/errors';
+import {UncertainError} from '@cardamomfield/errors';
+import type {FinalAnswer} from '@cardamomfield/types';
+import {assembleAnswer} from './assemble_answer.js';
+import type {IntentJournal} from './intent_journal.js';
+import type {RequestRecord} from './request_record.js';
+import type {TaskConclusion} from './task_conclusion.js';
+import type {TaskRecord} from './task_record.js';
+
+interface RequestRunOptions {
+  self: string;
+  incarnation: string;
+  journal: IntentJournal;
+  /** Runs one task until it has a conclusion. */
+  runTask: (record: RequestRecord, task: TaskRecord) => Promise<TaskConclusion>;
+}
+
+/** The life of one request from its acceptance to its final answer. */
+export class RequestRun {
+  private constructor(
+    private readonly record: RequestRecord,
+    private readonly options: RequestRunOptions,
+  ) {}
+
+  static create(record: RequestRecord, options: RequestRunOptions): RequestRun {
+    return new RequestRun(record, options);
+  }
+
+  /** Runs until the record has its answer. */
+  async run(): Promise<void> {
+    const refusal = await this.recordIntent();
+    const answer = refusal ?? (await this.runTasks());
+    this.record.answer = answer;
+    this.record.changed();
+    if (!refusal) await this.recordOutcome(answer);
+  }
+
+  /** Notes a non-idempotent request on the log before anything can start. */
+  private async recordIntent(): Promise<FinalAnswer | undefined> {
+    const {submission, bodyHash, key} = this.record;
+    if (submission.idempotent) return undefined;
+    const {journal, self, incarnation} = this.options;
+    const {deadline} = submission;
+    const intent = {key, bodyHash, coordinator: self, incarnation, deadline};
+    const recorded = await journal.recordIntent(intent);
+    return recorded.caseOf({
+      Left: error => this.refuse(error),
+      Right: first => {
+        const isOwn =
+          first.coordinator === self && first.incarnation === incarnation;
+        return isOwn ? undefined : (first.answer ?? this.earlierIntent());
+      },
+    });
+  }
+
+  /**
+   * A lost answer of the append is no reason for doubt: this process starts
+   * nothing without the intent, and nobody else starts under it.
+   */
+  private refuse(error: TypedError): FinalAnswer {
+    const isUncertain = error instanceof UncertainError;
+    const message = isUncertain
+      ? 'the intent could not be confirmed on the log; nothing was started'
+      : error.message;
+    return {
+      outcome: 'not-run',
+      key: this.record.key,
+      reason: {code: error.code, message},
+    };
+  }
+
+  private earlierIntent(): FinalAnswer {
+    return {
+      outcome: 'unknown',
+      key: this.record.key,
+      reason: {
+        code: 'uncertain',
+        message: 'an earlier submission of this key has no recorded outcome',
+      },
+    };
+  }
+
+  private async runTasks(): Promise<FinalAnswer> {
+    const conclusions = await Promise.all(
+      this.record.tasks.map(task => this.runTask(task)),
+    );
+    return assembleAnswer(this.record.key, conclusions);
+  }
+
+  private async runTask(task: TaskRecord): Promise<TaskConclusion> {
+    const conclusion = await this.options.runTask(this.record, task);
+    task.conclusion = conclusion;
+    this.record.changed();
+    return conclusion;
+  }
+
+  private async recordOutcome(answer: FinalAnswer): Promise<void> {
+    if (this.record.submission.idempotent) return;
+    await this.options.journal.recordOutcome(this.record.key, answer);
+  }
+}
--- /dev/null
+++ b/packages/requests/src/task_record.ts
@@ -0,0 +1,63 @@
+import type {TaskUpdate} from '@cardamomfield/peer-protocol';
+import type {TaskConclusion} from './task_conclusion.js';
+
+/** The owner that a task was sent to. */
+interface OwnerReference {
+  name: string;
+  incarnation: string;
+}
+
+/** What the coordinator knows of one task. */
+export class TaskRecord {
+  /** Placements so far; 0 before the first. */
+  attempt = 0;
+  /** Absent while no owner has been asked in this attempt. */
+  owner: OwnerReference | undefined;
+  /** Latest news of the present attempt. */
+  update: TaskUpdate | undefined;
+  /** Whether the owner may have sent the start of a non-idempotent task. */
+  isDispatchPermitted = false;
+  /** Whether permits of the present attempt are refused from now on. */
+  isDispatchRevoked = false;
+  conclusion: TaskConclusion | undefined;
+  checkpoint: unknown;
+
+  private constructor(readonly index: number) {}
+
+  static create(index: number): TaskRecord {
+    return new TaskRecord(index);
+  }
+
+  /** Begins another attempt; news of earlier ones are dropped from now on. */
+  startAttempt(): void {
+    this.attempt += 1;
+    this.owner = undefined;
+    this.update = undefined;
+    this.isDispatchPermitted = false;
+    this.isDispatchRevoked = false;
+  }
+
+  /** Takes news in; false when they are of another attempt or come too late. */
+  apply(update: TaskUpdate): boolean {
+    if (this.conclusion || update.task.attempt !== this.attempt) return false;
+    if (this.update && isFinal(this.update)) return false;
+    this.update = update;
+    return true;
+  }
+
+  /** Whether the present attempt has ended, one way or another. */
+  hasEnded(): boolean {
+    return this.update !== undefined && isFinal(this.update);
+  }
+
+  /** One word for callers and operators. */
+  stage(): string {
+    if (this.conclusion) return this.conclusion.kind;
+    if (this.update) return this.update.stage;
+    return this.owner ? 'queued' : 'waiting';
+  }
+}
+
+function isFinal(update: TaskUpdate): boolean {
+  return update.stage !== 'running' && update.stage !== 'in-doubt';
+}
--- /dev/null
+++ b/packages/requests/src/task_run.ts
@@ -0,0 +1,363 @@
+import type {Clock} from '@cardamomfield/clock';
+import {UncertainError} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
+import {
+  CANCEL_REQUESTS,
+  type PeerNetwork,
+  PLACE_TASKS,
+  type PlaceOrder,
+  type TaskUpdate,
+} from '@cardamomfield/peer-protocol';
+import type {FailureDescription, TaskResult} from '@cardamomfield/types';
+import type {OwnerChooser} from './owner_chooser.js';
+import type {RequestRecord} from './request_record.js';
+import type {TaskConclusion} from './task_conclusion.js';
+import type {TaskFinder} from './task_finder.js';
+import type {TaskRecord} from './task_record.js';
+
+/** Time for an owner to take or refuse an order. */
+const PLACE_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Pause while no owner has anything to offer. */
+const NO_OWNER_PAUSE_MILLISECONDS = 100;
+
+/** Pause between two searches for a task whose owner is gone. */
+const FIND_PAUSE_MILLISECONDS = 300;
+
+/** Time for an owner to take a cancellation, and the pause before another. */
+const CANCEL_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Time for one owner to start a service again; then another one is asked. */
+const SERVICE_RESTART_MILLISECONDS = 30_000;
+
+/** Attempts that end with a failure of the task itself. */
+const MAXIMUM_FAILED_ATTEMPTS = 3;
+
+interface TaskRunOptions {
+  self: string;
+  incarnation: string;
+  network: PeerNetwork;
+  clock: Clock;
+  chooser: OwnerChooser;
+  finder: TaskFinder;
+  logger: Logger;
+  metrics: Metrics;
+  /** Whether a retry fits the budget; spends from it. */
+  spendRetry: () => boolean;
+  /**
+   * Confirms that this process still coordinates the request; called before
+   * every attempt.
+   */
+  confirmRegistration: () => Promise<boolean>;
+}
+
+type Reason = FailureDescription;
+
+/** The life of one task: attempts, until it has a conclusion. */
+export class TaskRun {
+  private readonly excludedOwners = new Set<string>();
+  private readonly excludedWorkers = new Set<string>();
+  private failedAttempts = 0;
+  /**
+   * What to conclude when no further attempt starts, once an attempt may have
+   * run: from then on the task can no longer be called not run.
+   */
+  private earlier: TaskConclusion | undefined;
+  /** Wall-clock instant after which an unanswered order has no effect. */
+  private orderNotAfter = 0;
+
+  private constructor(
+    private readonly record: RequestRecord,
+    private readonly task: TaskRecord,
+    private readonly options: TaskRunOptions,
+  ) {}
+
+  static create(
+    record: RequestRecord,
+    task: TaskRecord,
+    options: TaskRunOptions,
+  ): TaskRun {
+    return new TaskRun(record, task, options);
+  }
+
+  /** Runs until the task has a conclusion. */
+  async run(): Promise<TaskConclusion> {
+    for (;;) {
+      const obstacle = await this.findObstacle();
+      if (obstacle) return this.earlier ?? obstacle;
+      this.task.startAttempt();
+      const isSent = await this.place();
+      if (!isSent) continue;
+      const update = await this.follow();
+      const conclusion = this.conclude(update);
+      if (conclusion) return conclusion;
+    }
+  }
+
+  /** Why no further attempt may be made, if so. */
+  private async findObstacle(): Promise<TaskConclusion | undefined> {
+    if (this.record.isCancelled) {
+      return notRun('cancelled', 'the request was cancelled before it started');
+    }
+    if (this.isOverdue()) {
+      return notRun(
+        'deadline-exceeded',
+        'the deadline passed before the task could start',
+      );
+    }
+    if (!(await this.options.confirmRegistration())) {
+      return notRun('conflict', 'another entry host took over the request');
+    }
+    return undefined;
+  }
+
+  /** A service that has run goes on past the deadline of its first start. */
+  private isOverdue(): boolean {
+    const {submission} = this.record;
+    if (submission.kind === 'service' && this.earlier) return false;
+    return this.options.clock.wallNow() >= submission.deadline;
+  }
+
+  /** Sends the order to an owner; false when it is proved to have no effect. */
+  private async place(): Promise<boolean> {
+    const {chooser, network, clock} = this.options;
+    const owner = chooser.choose(this.record.submission, this.excludedOwners);
+    if (!owner) {
+      this.excludedOwners.clear();
+      await this.pause(NO_OWNER_PAUSE_MILLISECONDS);
+      return false;
+    }
+    this.task.owner = {name: owner.name, incarnation: owner.incarnation};
+    const deadline = clock.monotonicNow() + PLACE_TIMEOUT_MILLISECONDS;
+    const order = this.createOrder();
+    this.orderNotAfter = order.notAfter;
+    const answer = await network.call(owner.name, PLACE_TASKS, order, deadline);
+    return answer.caseOf({
+      Right: () => true,
+      Left: error => {
+        if (error instanceof UncertainError) return true;
+        this.excludedOwners.add(owner.name);
+        return false;
+      },
+    });
+  }
+
+  private createOrder(): PlaceOrder {
+    const {taskCount: _count, ...submission} = this.record.submission;
+    const {index, attempt, checkpoint} = this.task;
+    const task = {index, attempt};
+    const now = this.options.clock.wallNow();
+    const restartDeadline = now + SERVICE_RESTART_MILLISECONDS;
+    return {
+      ...submission,
+      deadline: this.earlier
+        ? Math.max(submission.deadline, restartDeadline)
+        : submission.deadline,
+      coordinator: this.options.self,
+      coordinatorIncarnation: this.options.incarnation,
+      tasks: [
+        checkpoint === undefined
+          ? task
+          : {...task, checkpoint: checkpoint as PlaceOrder['payload']},
+      ],
+      excludedWorkers: [...this.excludedWorkers],
+      notAfter: now + PLACE_TIMEOUT_MILLISECONDS,
+      fromHold: false,
+    };
+  }
+
+  /** Waits for the end of the attempt, wherever its owner goes. */
+  private async follow(): Promise<TaskUpdate> {
+    let nextCancel = 0;
+    for (;;) {
+      const update = this.task.update;
+      if (update && this.task.hasEnded()) return update;
+      if (this.isOwnerGone()) {
+        await this.resolveWithoutOwner();
+        continue;
+      }
+      const now = this.options.clock.monotonicNow();
+      if (this.record.isCancelled && now >= nextCancel) {
+        nextCancel = now + CANCEL_TIMEOUT_MILLISECONDS;
+        await this.sendCancel();
+        continue;
+      }
+      await this.record.waitForChange(
+        this.record.isCancelled ? nextCancel : undefined,
+      );
+    }
+  }
+
+  /** Whether the process that took the order no longer exists or answers. */
+  private isOwnerGone(): boolean {
+    const {network, chooser} = this.options;
+    const owner = this.task.owner;
+    if (!owner || owner.name === network.self) return !owner;
+    if (!network.livePeers().includes(owner.name)) return true;
+    const incarnation = chooser.incarnationOf(owner.name);
+    return incarnation !== undefined && incarnation !== owner.incarnation;
+  }
+
+  private async sendCancel(): Promise<void> {
+    const {network, clock} = this.options;
+    const owner = this.task.owner;
+    if (!owner) return;
+    const deadline = clock.monotonicNow() + CANCEL_TIMEOUT_MILLISECONDS;
+    const keys = [this.record.key];
+    await network.call(owner.name, CANCEL_REQUESTS, {keys}, deadline);
+  }
+
+  /**
+   * Finds out what became of the attempt. Only a search that covers all
+   * worker groups proves that the task is not live.
+   */
+  private async resolveWithoutOwner(): Promise<void> {
+    if (this.revokeDispatch()) return;
+    const report = await this.options.finder.find(this.record.key);
+    if (this.task.hasEnded()) return;
+    const found = report.tasks.find(
+      each =>
+        each.task.index === this.task.index &&
+        each.task.attempt === this.task.attempt,
+    );
+    if (found) {
+      if (found.update) this.applyUpdate(found.update);
+      if (found.isLive) this.adoptOwner(found.reporter);
+      return;
+    }
+    const isOrderDead = this.options.clock.wallNow() > this.orderNotAfter;
+    if (report.isComplete && isOrderDead) {
+      this.applyUpdate(this.lostUpdate());
+      return;
+    }
+    await this.pause(FIND_PAUSE_MILLISECONDS);
+  }
+
+  /**
+   * A non-idempotent task starts only with a permit. If none was given, none
+   * will be, and the attempt is over.
+   */
+  private revokeDispatch(): boolean {
+    if (this.record.submission.idempotent) return false;
+    if (this.task.isDispatchPermitted) return false;
+    this.task.isDispatchRevoked = true;
+    this.applyUpdate({
+      stage: 'not-started',
+      task: this.identity(),
+      epoch: 0,
+      reason: 'the owner went away before it asked for a dispatch permit',
+    });
+    return true;
+  }
+
+  private adoptOwner(name: string): void {
+    const incarnation = this.options.chooser.incarnationOf(name) ?? '';
+    this.task.owner = {name, incarnation};
+  }
+
+  private lostUpdate(): TaskUpdate {
+    return {
+      stage: 'lost',
+      task: this.identity(),
+      epoch: 0,
+      worker: '',
+      reason: 'the owner went away and no worker runs the task',
+    };
+  }
+
+  private identity(): TaskUpdate['task'] {
+    const {index, attempt} = this.task;
+    return {key: this.record.key, index, attempt};
+  }
+
+  private applyUpdate(update: TaskUpdate): void {
+    if (this.task.apply(update)) this.record.changed();
+  }
+
+  /** The conclusion, or undefined when another attempt is due. */
+  private conclude(update: TaskUpdate): TaskConclusion | undefined {
+    switch (update.stage) {
+      case 'ended':
+        return this.concludeEnded(update);
+      case 'not-started':
+        return this.concludeNotStarted(update);
+      case 'displaced':
+        return this.concludeDisplaced(update);
+      case 'lost':
+        return this.concludeLost(update);
+      default:
+        return undefined;
+    }
+  }
+
+  private concludeEnded(
+    update: Extract<TaskUpdate, {stage: 'ended'}>,
+  ): TaskConclusion | undefined {
+    const {worker, succeeded, value} = update;
+    this.earlier = this.ran(worker, succeeded, value);
+    if (succeeded || !this.mayRetryFailure()) return this.earlier;
+    this.excludedWorkers.add(worker);
+    return undefined;
+  }
+
+  private mayRetryFailure(): boolean {
+    if (!this.mayRepeat()) return false;
+    this.failedAttempts += 1;
+    if (this.failedAttempts >= MAXIMUM_FAILED_ATTEMPTS) return false;
+    return this.options.spendRetry();
+  }
+
+  private concludeNotStarted(
+    update: Extract<TaskUpdate, {stage: 'not-started'}>,
+  ): undefined {
+    if (this.task.owner) this.excludedOwners.add(this.task.owner.name);
+    this.options.logger.debug('attempt did not start', {
+      key: this.record.key,
+      reason: update.reason,
+    });
+  }
+
+  private concludeDisplaced(
+    update: Extract<TaskUpdate, {stage: 'displaced'}>,
+  ): TaskConclusion | undefined {
+    const {submission, isCancelled} = this.record;
+    const succeeded = isCancelled && submission.kind === 'service';
+    const value = {stopped: update.reason};
+    this.earlier = this.ran(update.worker, succeeded, value);
+    this.task.checkpoint = update.checkpoint ?? this.task.checkpoint;
+    return this.mayRepeat() ? undefined : this.earlier;
+  }
+
+  private concludeLost(
+    update: Extract<TaskUpdate, {stage: 'lost'}>,
+  ): TaskConclusion | undefined {
+    const reason: Reason = {code: 'uncertain', message: update.reason};
+    this.earlier = {kind: 'unknown', reason};
+    return this.mayRepeat() ? undefined : this.earlier;
+  }
+
+  private mayRepeat(): boolean {
+    const {submission, isCancelled} = this.record;
+    return submission.idempotent && !isCancelled && !this.isOverdue();
+  }
+
+  private ran(
+    worker: string,
+    succeeded: boolean,
+    value: TaskResult['value'],
+  ): TaskConclusion {
+    const result = {index: this.task.index, worker, succeeded, value};
+    return {kind: 'ran', result};
+  }
+
+  private pause(milliseconds: number): Promise<void> {
+    const {clock} = this.options;
+    return clock.sleepUntil(clock.monotonicNow() + milliseconds);
+  }
+}
+
+function notRun(code: string, message: string): TaskConclusion {
+  const reason: Reason = {code, message};
+  return {kind: 'not-run', reason};
+}
