--- /dev/null
+++ b/packages/caller-api/src/caller_request.ts
@@ -0,0 +1,14 @@
+import {Submission} from '@cardamomfield/types';
+import {z} from 'zod';
+
+/** A request as a caller sends it; the entry host fills in what is absent. */
+export const CallerRequest = z.strictObject({
+  ...Submission.shape,
+  key: Submission.shape.key.optional(),
+  region: Submission.shape.region.optional(),
+  taskCount: Submission.shape.taskCount.default(1),
+  declaredRunMilliseconds: Submission.shape.declaredRunMilliseconds.default(0),
+  deadline: Submission.shape.deadline.optional(),
+  payload: Submission.shape.payload.default(null),
+});
+export type CallerRequest = z.infer<typeof CallerRequest>;
--- /dev/null
+++ b/packages/caller-api/src/caller_server.ts
@@ -0,0 +1,95 @@
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {App, type Request, type Response} from '@tinyhttp/app';
+import type {Clock} from '@cardamomfield/clock';
+import {NotFoundError, toTypedError} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {OperatorRoutes} from './operator_routes.js';
+import type {OperatorService} from './operator_service.js';
+import {RequestRoutes} from './request_routes.js';
+import type {RequestService} from './request_service.js';
+import {sendProblem} from './send_problem.js';
+
+/** Time for a caller to send its headers; a slow sender is cut off. */
+const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
+
+/** Time for a caller to send a whole request. */
+const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
+
+/** Period of the check for slow senders. */
+const CONNECTION_CHECK_MILLISECONDS = 1_000;
+
+interface CallerServerOptions {
+  /** IP address to listen on. */
+  address: string;
+  /** 0 lets the system choose. */
+  port: number;
+  region: string;
+  clock: Clock;
+  logger: Logger;
+  requests: RequestService;
+  operator: OperatorService;
+}
+
+/** HTTP interface for callers and operators. */
+export class CallerServer {
+  private constructor(
+    private readonly options: CallerServerOptions,
+    private readonly server: Server,
+  ) {}
+
+  static create(options: CallerServerOptions): CallerServer {
+    const app = createApp(options);
+    const server = createServer(
+      {
+        headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+        requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+        connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
+      },
+      (request, response) => {
+        // tinyhttp adds its own members to both objects before a route runs.
+        app.handler(request as Request, response as Response);
+      },
+    );
+    return new CallerServer(options, server);
+  }
+
+  /** Starts to listen and returns the port. */
+  listen(): Promise<number> {
+    const {address, port} = this.options;
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, () => {
+        this.server.off('error', reject);
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Takes no new connections and resolves once all answers are sent. */
+  close(): Promise<void> {
+    return new Promise(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+}
+
+function createApp(options: CallerServerOptions): App {
+  const {logger} = options;
+  const app = new App({
+    noMatchHandler: (request, response) => {
+      const message = `there is no route ${request.method} ${request.path}`;
+      sendProblem(response, NotFoundError.create(message));
+    },
+    onError: (thrown: unknown, _request, response) => {
+      const error = toTypedError(thrown);
+      logger.error('a route failed', {...error.toJSON()});
+      if (response.headersSent) response.destroy();
+      else sendProblem(response, error);
+    },
+  });
+  RequestRoutes.create(options).register(app);
+  OperatorRoutes.create(options.operator).register(app);
+  return app;
+}
--- a/packages/caller-api/src/index.ts
+++ b/packages/caller-api/src/index.ts
@@ -1,2 +1,5 @@
 /** HTTP interface for callers and operators. */
-export {};
+export * from './caller_request.js';
+export * from './caller_server.js';
+export * from './operator_service.js';
+export * from './request_service.js';
--- /dev/null
+++ b/packages/caller-api/src/payload_too_large_error.ts
@@ -0,0 +1,13 @@
+import {TypedError} from '@cardamomfield/errors';
+
+/** A request body beyond the limit; nothing of it was kept. */
+export class PayloadTooLargeError extends TypedError {
+  readonly code = 'payload-too-large';
+
+  static create(maximumBytes: number): PayloadTooLargeError {
+    return new PayloadTooLargeError(
+      `the body is larger than ${maximumBytes} bytes`,
+      {maximumBytes},
+    );
+  }
+}
--- /dev/null
+++ b/packages/caller-api/src/request_service.ts
@@ -0,0 +1,18 @@
+import type {TypedError} from '@cardamomfield/errors';
+import type {RequestView} from '@cardamomfield/peer-protocol';
+import type {Submission} from '@cardamomfield/types';
+import type {Either} from 'purify-ts';
+
+/** What the interface needs of the coordinator of requests. */
+export interface RequestService {
+  generateKey(): string;
+  submit(
+    submission: Submission,
+    isKeyChosen: boolean,
+  ): Promise<Either<TypedError, RequestView>>;
+  show(
+    key: string,
+    wait?: {afterRevision?: number; waitUntil?: number},
+  ): Promise<Either<TypedError, RequestView>>;
+  cancel(key: string): Promise<Either<TypedError, RequestView>>;
+}
--- /dev/null
+++ b/packages/caller-api/src/send_json.ts
@@ -0,0 +1,12 @@
+import type {ServerResponse} from 'node:http';
+
+/** Answers with a JSON document. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  response.writeHead(status, {'content-type': 'application/json', ...headers});
+  response.end(JSON.stringify(value));
+}
