Add voters, claims, authority and assignment of worker groups

A question to a peer names an offset instead of groups, so its size does not grow with the number of groups. A claim that has not taken effect is never released: the owner before it may still hold authority, and a released epoch is replaced without a wait.

--- /dev/null
+++ b/packages/ownership/src/group_authority.ts
@@ -0,0 +1,10 @@
+/** The right of this process to place work on one group. */
+export interface GroupAuthority {
+  readonly epoch: number;
+
+  /** Whether the authority holds at the instant of the call. */
+  isHeld(): boolean;
+
+  /** Monotonic instant at which it ends unless extended. */
+  heldUntil(): number;
+}
--- /dev/null
+++ b/packages/ownership/src/group_rebalancing.ts
@@ -0,0 +1,104 @@
+import type {GroupCandidates} from './group_candidates.js';
+import type {GroupClaiming} from './group_claiming.js';
+import type {GroupRelease} from './group_release.js';
+import type {OwnershipContext} from './ownership_context.js';
+
+/** Moves groups towards the ranking, a few at a time. */
+export class GroupRebalancing {
+  private readonly eligibleSince = new Map<string, number>();
+
+  private constructor(
+    private readonly context: OwnershipContext,
+    private readonly candidates: GroupCandidates,
+    private readonly claiming: GroupClaiming,
+    private readonly release: GroupRelease,
+  ) {}
+
+  static create(
+    context: OwnershipContext,
+    candidates: GroupCandidates,
+    claiming: GroupClaiming,
+    release: GroupRelease,
+  ): GroupRebalancing {
+    return new GroupRebalancing(context, candidates, claiming, release);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, settings} = this.context;
+    let nextBatchAt =
+      clock.monotonicNow() + settings.rebalanceIntervalMilliseconds;
+    while (!signal.aborted) {
+      await clock.sleepUntil(
+        clock.monotonicNow() + settings.evaluationIntervalMilliseconds,
+        signal,
+      );
+      this.observe();
+      const now = clock.monotonicNow();
+      if (signal.aborted || now < nextBatchAt) continue;
+      nextBatchAt = now + settings.rebalanceIntervalMilliseconds;
+      const deadline = now + settings.appendTimeoutMilliseconds;
+      await this.release.retry(deadline);
+      await this.releaseUnconfigured(deadline);
+      await this.moveBatch(deadline);
+    }
+  }
+
+  private observe(): void {
+    const now = this.context.clock.monotonicNow();
+    const eligible = new Set(this.candidates.eligibleHosts());
+    for (const host of this.eligibleSince.keys()) {
+      if (!eligible.has(host)) this.eligibleSince.delete(host);
+    }
+    for (const host of eligible) {
+      if (!this.eligibleSince.has(host)) this.eligibleSince.set(host, now);
+    }
+  }
+
+  private async releaseUnconfigured(deadline: number): Promise<void> {
+    const groups = this.ownedGroups().filter(
+      group => !this.claiming.hasGroup(group),
+    );
+    if (groups.length > 0) await this.release.release(groups, deadline);
+  }
+
+  private async moveBatch(deadline: number): Promise<void> {
+    const {process, settings} = this.context;
+    const hosts = this.stableHosts();
+    if (!hosts.includes(process)) return;
+    const misplaced = this.ownedGroups()
+      .map(group => ({
+        group,
+        successor: this.candidates.ranked(group, hosts)[0],
+      }))
+      .filter(({successor}) => successor !== process)
+      .slice(0, settings.rebalanceBatchSize);
+    const bySuccessor = new Map<string, string[]>();
+    for (const {group, successor} of misplaced) {
+      if (!successor) continue;
+      bySuccessor.set(successor, [
+        ...(bySuccessor.get(successor) ?? []),
+        group,
+      ]);
+    }
+    for (const [successor, groups] of bySuccessor) {
+      await this.release.release(groups, deadline, successor);
+    }
+  }
+
+  private ownedGroups(): string[] {
+    const {claims} = this.context;
+    return claims
+      .all()
+      .filter(claim => claims.isInEffect(claim))
+      .map(claim => claim.group);
+  }
+
+  /** Hosts that have been eligible long enough for groups to move to them. */
+  private stableHosts(): string[] {
+    const {clock, process, settings} = this.context;
+    const before = clock.monotonicNow() - settings.rebalanceStableMilliseconds;
+    return [...this.eligibleSince]
+      .filter(([host, since]) => host === process || since <= before)
+      .map(([host]) => host);
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/ownership_manager.ts
@@ -0,0 +1,301 @@
+import type {Clock, RandomSource} from '@cardamomfield/clock';
+import type {TypedError} from '@cardamomfield/errors';
+import type {FollowedStream} from '@cardamomfield/log-follower';
+import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
+import {
+  OwnershipSection,
+  type PeerNetwork,
+  type VotersView,
+} from '@cardamomfield/peer-protocol';
+import type {Timeline} from '@cardamomfield/timeline';
+import type {Either} from 'purify-ts';
+import {AuthorityExtension} from './authority_extension.js';
+import {AuthorityTracker} from './authority_tracker.js';
+import {ClaimAnnouncer} from './claim_announcer.js';
+import type {GroupAuthority} from './group_authority.js';
+import {GroupCandidates} from './group_candidates.js';
+import {GroupClaiming} from './group_claiming.js';
+import type {GroupHandover} from './group_handover.js';
+import {GroupRebalancing} from './group_rebalancing.js';
+import {GroupRelease} from './group_release.js';
+import {HostLiveness} from './host_liveness.js';
+import {OwnClaims} from './own_claims.js';
+import type {OwnershipContext} from './ownership_context.js';
+import {OwnershipKnowledge} from './ownership_knowledge.js';
+import type {OwnershipListener} from './ownership_listener.js';
+import type {OwnershipRecord} from './ownership_record.js';
+import {OwnershipSettings} from './ownership_settings.js';
+import type {OwnershipState} from './ownership_state.js';
+import type {OwnershipStatus} from './ownership_status.js';
+import {PeerAnswers} from './peer_answers.js';
+import {RendezvousRanking} from './rendezvous_ranking.js';
+import {VoterMembership} from './voter_membership.js';
+import {Wakeup} from './wakeup.js';
+
+interface OwnershipManagerOptions {
+  process: string;
+  incarnation: string;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+  metrics: Metrics;
+  timeline: Timeline;
+  /** Stream `ownership`, followed with `OwnershipFold`. */
+  stream: FollowedStream<OwnershipState>;
+  network: PeerNetwork;
+  settings?: Partial<OwnershipSettings>;
+}
+
+interface ReleaseOptions {
+  /** Monotonic instant after which nothing more is tried. */
+  deadline: number;
+  /** Host that should claim the groups; the next in the ranking by default. */
+  successor?: string;
+}
+
+interface ReleaseAllOptions {
+  /** Monotonic instant after which nothing more is tried. */
+  deadline: number;
+  /** The host goes for good, so it also leaves the voters. */
+  isFinal: boolean;
+}
+
+/** The owner of a group as far as this process knows. */
+interface GroupOwner {
+  process: string;
+  incarnation: string;
+  epoch: number;
+  deputy: string | null;
+}
+
+/** Owns everything this process does about the ownership of worker groups. */
+export class OwnershipManager {
+  private constructor(
+    private readonly context: OwnershipContext,
+    private readonly extension: AuthorityExtension,
+    private readonly announcer: ClaimAnnouncer,
+    private readonly candidates: GroupCandidates,
+    private readonly claiming: GroupClaiming,
+    private readonly releasing: GroupRelease,
+    private readonly rebalancing: GroupRebalancing,
+    private readonly membership: VoterMembership,
+  ) {}
+
+  /** Sets the handlers on the network; `run` starts the tasks. */
+  static async create(
+    options: OwnershipManagerOptions,
+  ): Promise<OwnershipManager> {
+    const context = await createContext(options);
+    PeerAnswers.create(context);
+    const candidates = GroupCandidates.create(context);
+    const claiming = GroupClaiming.create(context, candidates);
+    const releasing = GroupRelease.create(context, candidates);
+    const manager = new OwnershipManager(
+      context,
+      AuthorityExtension.create(context),
+      ClaimAnnouncer.create(context),
+      candidates,
+      claiming,
+      releasing,
+      GroupRebalancing.create(context, candidates, claiming, releasing),
+      VoterMembership.create(context),
+    );
+    manager.connect();
+    return manager;
+  }
+
+  /** Runs all tasks until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([
+      this.extension.runTailReads(signal),
+      this.extension.runQuestions(signal),
+      this.announcer.run(signal),
+      this.claiming.run(signal),
+      this.rebalancing.run(signal),
+      this.membership.run(signal),
+    ]);
+  }
+
+  /** The own authority over a group, once its claim has taken effect. */
+  authority(group: string): GroupAuthority | undefined {
+    return this.context.claims.authority(group);
+  }
+
+  /**
+   * The right to renew leases of a group whose owner is silent, for the deputy
+   * named in the claim. It needs the answers of a majority; a tail read is not
+   * enough.
+   */
+  renewalAuthority(group: string): GroupAuthority | undefined {
+    const {clock, knowledge, process} = this.context;
+    const claim = knowledge.latestClaim(group);
+    if (!claim || claim.deputy !== process) return undefined;
+    const heldUntil = () => this.renewalUntil(group, claim.epoch);
+    return {
+      epoch: claim.epoch,
+      isHeld: () => clock.monotonicNow() < heldUntil(),
+      heldUntil,
+    };
+  }
+
+  /** The latest claim of a group that is not released. */
+  ownerOf(group: string): GroupOwner | undefined {
+    const {knowledge, stream} = this.context;
+    const claim = knowledge.latestClaim(group);
+    if (!claim) return undefined;
+    const read = stream.state().claims.get(group);
+    if (read?.epoch === claim.epoch && read.released) return undefined;
+    const {process, incarnation, epoch, deputy} = claim;
+    return {process, incarnation, epoch, deputy};
+  }
+
+  /** The latest voters known. */
+  voters(): VotersView {
+    return this.context.knowledge.voters();
+  }
+
+  /** Whether the log has been read and this process is a voter. */
+  isReady(): boolean {
+    const {knowledge, process, stream} = this.context;
+    return stream.isCaughtUp() && knowledge.voters().members.includes(process);
+  }
+
+  /** Adds a listener; returns the function that removes it. */
+  addListener(listener: OwnershipListener): () => void {
+    return this.context.claims.addListener(listener);
+  }
+
+  /** Sets what passes the state of groups on before a release. */
+  setHandover(handover: GroupHandover): void {
+    this.releasing.setHandover(handover);
+  }
+
+  /** Sets the groups that should have an owner: the racks. */
+  setGroups(groups: readonly string[]): void {
+    this.claiming.setGroups(groups);
+  }
+
+  /** Hands groups over; returns those whose authority was given up. */
+  release(
+    groups: readonly string[],
+    options: ReleaseOptions,
+  ): Promise<string[]> {
+    return this.releasing.release(groups, options.deadline, options.successor);
+  }
+
+  /**
+   * Hands all groups over and claims none any more. Authority has ended when
+   * this resolves, whether the releases reached the log or not.
+   */
+  async releaseAll(options: ReleaseAllOptions): Promise<void> {
+    const {claims, clock, settings} = this.context;
+    this.candidates.isOffered = false;
+    const groups = claims.all().map(claim => claim.group);
+    await this.releasing.release(groups, options.deadline);
+    for (const claim of claims.all()) claims.stop(claim);
+    if (!options.isFinal) return;
+    this.membership.leave();
+    while (
+      this.membership.isMember() &&
+      clock.monotonicNow() < options.deadline
+    ) {
+      const next =
+        clock.monotonicNow() + settings.evaluationIntervalMilliseconds;
+      await clock.sleepUntil(Math.min(next, options.deadline));
+    }
+  }
+
+  /**
+   * Sets the voters by operator command, for when a majority is lost for good.
+   * A member of the old set that still runs may hold authority next to the new
+   * owners, so this must not be automated.
+   */
+  resetVoters(
+    members: readonly string[],
+    editor: string,
+    deadline: number,
+  ): Promise<Either<TypedError, number>> {
+    const record: OwnershipRecord = {
+      kind: 'voters-reset',
+      members: [...members],
+      editor,
+    };
+    return this.context.stream.append(record, deadline);
+  }
+
+  /** A summary for operators. */
+  status(): OwnershipStatus {
+    const {claims, clock, incarnation, process, stream, tracker} = this.context;
+    const now = clock.monotonicNow();
+    return {
+      process,
+      incarnation,
+      isReady: this.isReady(),
+      nextOffset: stream.nextOffset(),
+      voters: this.voters(),
+      authorityRemainingMilliseconds: Math.max(0, tracker.heldUntil() - now),
+      groups: claims.all().map(claim => ({
+        group: claim.group,
+        epoch: claim.epoch,
+        deputy: claim.deputy,
+        isInEffect: claims.isInEffect(claim),
+        isHeld: claims.authority(claim.group)?.isHeld() ?? false,
+      })),
+    };
+  }
+
+  private connect(): void {
+    const {claims, incarnation, knowledge, network, stream, wakeup} =
+      this.context;
+    knowledge.onChange(() => {
+      claims.refresh();
+      wakeup.wake();
+    });
+    network.onPeersChange(() => wakeup.wake());
+    network.publish(OwnershipSection, () => ({
+      incarnation,
+      nextOffset: stream.nextOffset(),
+      isEligible: this.candidates.isSelfEligible(),
+    }));
+  }
+
+  private renewalUntil(group: string, epoch: number): number {
+    const {knowledge, liveness, process, stream, tracker} = this.context;
+    const claim = knowledge.latestClaim(group);
+    if (claim?.epoch !== epoch || claim.process === process) return -Infinity;
+    if (stream.state().claims.get(group)?.released) return -Infinity;
+    if (!liveness.isGone(claim.process, claim.incarnation)) return -Infinity;
+    return tracker.majorityUntil();
+  }
+}
+
+async function createContext(
+  options: OwnershipManagerOptions,
+): Promise<OwnershipContext> {
+  const {clock, incarnation, network, process, stream} = options;
+  const settings = OwnershipSettings.parse(options.settings ?? {});
+  const knowledge = OwnershipKnowledge.create(stream);
+  const {authorityPeriodMilliseconds} = settings;
+  const tracker = AuthorityTracker.create({
+    process,
+    authorityPeriodMilliseconds,
+  });
+  return {
+    ...options,
+    settings,
+    knowledge,
+    tracker,
+    claims: OwnClaims.create({
+      process,
+      incarnation,
+      clock,
+      stream,
+      knowledge,
+      tracker,
+    }),
+    liveness: HostLiveness.create({incarnation, clock, network, settings}),
+    ranking: await RendezvousRanking.create(),
+    wakeup: Wakeup.create(clock),
+  };
+}
--- /dev/null
+++ b/packages/peer-protocol/src/known_claim.ts
@@ -0,0 +1,14 @@
+import {Name} from '@cardamomfield/types';
+import {z} from 'zod';
+
+/** The latest claim of one group that a process knows. */
+export const KnownClaim = z.strictObject({
+  group: Name,
+  /** Offset of the claim record. */
+  epoch: z.int().nonnegative(),
+  process: Name,
+  incarnation: z.string(),
+  /** Second host of the group's ranking when the claim was made. */
+  deputy: Name.nullable(),
+});
+export type KnownClaim = z.infer<typeof KnownClaim>;
