--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,14 +1,18 @@
 /** Schemas of the messages between entry hosts. */
+export * from './authority_ask.js';
 export * from './cancel_request.js';
+export * from './claim_announce.js';
 export * from './define_peer_method.js';
 export * from './find_tasks.js';
 export * from './heartbeat_section.js';
 export * from './hold_capacity.js';
 export * from './key_registration.js';
+export * from './known_claim.js';
 export * from './known_task.js';
 export * from './list_keys.js';
 export * from './owner_summary.js';
 export * from './owner_summary_section.js';
+export * from './ownership_section.js';
 export * from './peer_method.js';
 export * from './peer_network.js';
 export * from './permit_dispatch.js';
@@ -22,3 +26,5 @@
 export * from './stop_request.js';
 export * from './task_update.js';
 export * from './update_tasks.js';
+export * from './voters_announce.js';
+export * from './voters_view.js';
