Add the platform over HTTP and its stand-ins

The stand-ins have one implementation of their behaviour each, which the memory clients call directly and the HTTP servers wrap.

Undici reports the start of a request immediately before it writes to a connected socket; a failure before that is reported as unavailable, one after it as uncertain.

--- /dev/null
+++ b/packages/platform-http/src/http_exchange.ts
@@ -0,0 +1,85 @@
+import {
+  type TypedError,
+  UnavailableError,
+  UncertainError,
+} from '@cardamomfield/errors';
+import {type Either, Left, Right} from 'purify-ts';
+import type {Dispatcher} from 'undici';
+
+interface HttpAnswer {
+  status: number;
+  text: string;
+}
+
+/**
+ * One request on a pool. Undici calls `onRequestStart` immediately before it
+ * writes to a connected socket, so a failure before that call proves that
+ * nothing was sent.
+ */
+export class HttpExchange implements Dispatcher.DispatchHandler {
+  readonly finished: Promise<Either<TypedError, HttpAnswer>>;
+  private finish!: (result: Either<TypedError, HttpAnswer>) => void;
+  private controller: Dispatcher.DispatchController | undefined;
+  private isCancelled = false;
+  private status = 0;
+  private readonly chunks: Buffer[] = [];
+
+  private constructor(private readonly target: string) {
+    this.finished = new Promise(resolve => {
+      this.finish = resolve;
+    });
+  }
+
+  static create(target: string): HttpExchange {
+    return new HttpExchange(target);
+  }
+
+  /** Ends the exchange at its deadline; a request not yet sent never will be. */
+  expire(): void {
+    this.isCancelled = true;
+    this.fail(new Error('the deadline passed'));
+    this.controller?.abort(new Error('the deadline passed'));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.isCancelled) {
+      controller.abort(new Error('the deadline passed'));
+      return;
+    }
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+  ): void {
+    this.status = status;
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const text = Buffer.concat(this.chunks).toString('utf8');
+    this.finish(Right({status: this.status, text}));
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    this.fail(error);
+  }
+
+  private fail(cause: Error): void {
+    const details = {target: this.target, cause: cause.message};
+    const failure = this.controller
+      ? UncertainError.create('no answer to a sent request', details, cause)
+      : UnavailableError.create('the request was not sent', details, cause);
+    this.finish(Left(failure));
+  }
+}
--- /dev/null
+++ b/packages/platform-http/src/platform_wire.ts
@@ -0,0 +1,30 @@
+import {HostEntry, LeaseRenewal} from '@cardamomfield/platform';
+import {TaskIdentity} from '@cardamomfield/types';
+import {z} from 'zod';
+
+/** Schemas of the HTTP bodies that are not already schemas of `platform`. */
+export const platformWire = {
+  /** `POST /streams/:stream/records` */
+  appendRequest: z.strictObject({body: z.json()}),
+  appendAnswer: z.object({offset: z.int().nonnegative()}),
+
+  /** `GET /hosts` */
+  hostsAnswer: z.object({hosts: z.array(HostEntry)}),
+
+  /** `POST /tasks/stop` and `POST /tasks/checkpoint` */
+  taskRequest: z.strictObject({task: TaskIdentity}),
+  checkpointAnswer: z.object({checkpoint: z.json()}),
+
+  /** `POST /tasks/throttle` */
+  throttleRequest: z.strictObject({
+    task: TaskIdentity,
+    processorMillicores: z.int().nonnegative(),
+  }),
+
+  /** `POST /leases` */
+  renewRequest: z.strictObject({renewals: z.array(LeaseRenewal)}),
+  renewAnswer: z.object({ended: z.array(TaskIdentity)}),
+
+  /** Answer of a call that returns nothing. */
+  emptyAnswer: z.object({}),
+};
--- /dev/null
+++ b/packages/platform-stand-ins/src/fault_gate.ts
@@ -0,0 +1,101 @@
+import {
+  type Clock,
+  type RandomSource,
+  SeededRandomSource,
+} from '@cardamomfield/clock';
+import type {Exchange} from './exchange.js';
+import type {FaultSettings} from './fault_settings.js';
+import {Notifier} from './notifier.js';
+
+const NO_FAULTS: FaultSettings = {
+  outage: false,
+  delayMilliseconds: 0,
+  answerDelayMilliseconds: 0,
+  loseAnswers: 0,
+  loseAnswerRatio: 0,
+  silent: false,
+  holdWrites: false,
+};
+
+/** Seed of the gate's own randomness when none is given. */
+const DEFAULT_SEED = 1;
+
+interface FaultGateOptions {
+  clock: Clock;
+  /** Decides which answers a ratio loses. */
+  random?: RandomSource;
+}
+
+/** Lets calls through to their effect, subject to the injected faults. */
+export class FaultGate {
+  private settings = NO_FAULTS;
+  private readonly changed: Notifier;
+  private readonly listeners: Array<() => void> = [];
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+  ) {
+    this.changed = Notifier.create(clock);
+  }
+
+  static create(options: FaultGateOptions): FaultGate {
+    const random = options.random ?? SeededRandomSource.create(DEFAULT_SEED);
+    return new FaultGate(options.clock, random);
+  }
+
+  /** Changes some settings and leaves the others. */
+  set(settings: Partial<FaultSettings>): void {
+    this.settings = {...this.settings, ...settings};
+    this.changed.notify();
+    for (const listener of this.listeners) listener();
+  }
+
+  /** Ends all faults. */
+  clear(): void {
+    this.set(NO_FAULTS);
+  }
+
+  /** The settings in force. */
+  current(): Readonly<FaultSettings> {
+    return this.settings;
+  }
+
+  /** Calls the listener after each change of the settings. */
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Runs the effect of one call unless a fault prevents it. */
+  async exchange<Answer>(
+    isWrite: boolean,
+    effect: () => Answer | Promise<Answer>,
+  ): Promise<Exchange<Answer>> {
+    if (this.settings.silent) return {kind: 'silent'};
+    if (this.settings.outage) return {kind: 'unavailable'};
+    await this.pause(this.settings.delayMilliseconds);
+    while (isWrite && this.settings.holdWrites) {
+      await this.changed.wait(Infinity);
+    }
+    const answer = await effect();
+    await this.pause(this.settings.answerDelayMilliseconds);
+    if (this.settings.silent) return {kind: 'silent'};
+    if (isWrite && this.losesAnswer()) return {kind: 'lost'};
+    return {kind: 'answered', answer};
+  }
+
+  private async pause(milliseconds: number): Promise<void> {
+    if (milliseconds === 0) return;
+    await this.clock.sleepUntil(this.clock.monotonicNow() + milliseconds);
+  }
+
+  private losesAnswer(): boolean {
+    if (this.settings.loseAnswers > 0) {
+      const loseAnswers = this.settings.loseAnswers - 1;
+      this.settings = {...this.settings, loseAnswers};
+      return true;
+    }
+    if (this.settings.loseAnswerRatio === 0) return false;
+    return this.random.fraction() < this.settings.loseAnswerRatio;
+  }
+}
--- a/packages/platform-stand-ins/src/index.ts
+++ b/packages/platform-stand-ins/src/index.ts
@@ -1,2 +1,18 @@
-/** Stand-in servers for the platform with fault injection, and the contract tests of the platform interfaces. */
-export {};
+/** Stand-ins for the platform with fault injection, in memory and over HTTP. */
+export * from './exchange.js';
+export * from './fault_gate.js';
+export * from './fault_settings.js';
+export * from './host_list_server.js';
+export * from './host_list_service.js';
+export * from './log_server.js';
+export * from './log_service.js';
+export * from './memory_host_list.js';
+export * from './memory_platform_log.js';
+export * from './memory_worker.js';
+export * from './memory_worker_connector.js';
+export * from './start_record.js';
+export * from './task_behaviour.js';
+export * from './work_ledger.js';
+export * from './worker_behaviour.js';
+export * from './worker_server.js';
+export * from './worker_service.js';
--- /dev/null
+++ b/packages/platform-stand-ins/src/memory_worker.ts
@@ -0,0 +1,100 @@
+import type {Clock} from '@cardamomfield/clock';
+import {
+  type NotFoundError,
+  type RefusedError,
+  UnavailableError,
+  type UncertainError,
+} from '@cardamomfield/errors';
+import type {
+  LeaseRenewal,
+  TaskStart,
+  WorkerClient,
+  WorkerSnapshot,
+} from '@cardamomfield/platform';
+import type {TaskIdentity} from '@cardamomfield/types';
+import type {Either} from 'purify-ts';
+import type {FaultGate} from './fault_gate.js';
+import {MemoryLink} from './memory_link.js';
+import type {WorkerService} from './worker_service.js';
+
+type WatchOptions = Parameters<WorkerClient['watch']>[0];
+
+interface MemoryWorkerOptions {
+  clock: Clock;
+  service: WorkerService;
+}
+
+/** One process's client of a worker in memory. */
+export class MemoryWorker implements WorkerClient {
+  private constructor(
+    readonly service: WorkerService,
+    private readonly link: MemoryLink,
+  ) {}
+
+  static create(options: MemoryWorkerOptions): MemoryWorker {
+    return new MemoryWorker(options.service, MemoryLink.create(options.clock));
+  }
+
+  /** Faults that this client only sees. */
+  get faults(): FaultGate {
+    return this.link.faults;
+  }
+
+  start(
+    start: TaskStart,
+    deadline: number,
+  ): Promise<Either<RefusedError | UnavailableError | UncertainError, void>> {
+    const effect = () => this.service.start(start);
+    return this.link.call({isWrite: true, deadline, effect});
+  }
+
+  stop(
+    task: TaskIdentity,
+    deadline: number,
+  ): Promise<Either<UnavailableError | UncertainError, void>> {
+    const effect = () => this.service.stop(task);
+    return this.link.call({isWrite: true, deadline, effect});
+  }
+
+  checkpoint(
+    task: TaskIdentity,
+    deadline: number,
+  ): Promise<
+    Either<NotFoundError | UnavailableError | UncertainError, unknown>
+  > {
+    const effect = () => this.service.checkpoint(task);
+    return this.link.call({isWrite: true, deadline, effect});
+  }
+
+  throttle(
+    task: TaskIdentity,
+    processorMillicores: number,
+    deadline: number,
+  ): Promise<Either<NotFoundError | UnavailableError | UncertainError, void>> {
+    const effect = () => this.service.throttle(task, processorMillicores);
+    return this.link.call({isWrite: true, deadline, effect});
+  }
+
+  renewLeases(
+    renewals: readonly LeaseRenewal[],
+    deadline: number,
+  ): Promise<Either<UnavailableError | UncertainError, TaskIdentity[]>> {
+    const effect = () => this.service.renewLeases(renewals);
+    return this.link.call({isWrite: true, deadline, effect});
+  }
+
+  async watch(
+    options: WatchOptions,
+  ): Promise<Either<UnavailableError, WorkerSnapshot>> {
+    const result = await this.link.call({
+      isWrite: false,
+      deadline: options.deadline,
+      effect: () => this.service.watch(options),
+    });
+    return result.mapLeft(error =>
+      error instanceof UnavailableError
+        ? error
+        : UnavailableError.create(error.message),
+    );
+  }
+}
--- /dev/null
+++ b/packages/platform-stand-ins/src/memory_worker_connector.ts
@@ -0,0 +1,46 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {WorkerConnector} from '@cardamomfield/platform';
+import type {Worker} from '@cardamomfield/types';
+import {MemoryWorker} from './memory_worker.js';
+import {WorkerService} from './worker_service.js';
+
+interface MemoryWorkerConnectorOptions {
+  clock: Clock;
+  /** Workers by name; shared by the connectors of several processes. */
+  services?: Map<string, WorkerService>;
+}
+
+/** One process's clients of workers in memory. */
+export class MemoryWorkerConnector implements WorkerConnector {
+  private readonly workers = new Map<string, MemoryWorker>();
+
+  private constructor(
+    private readonly clock: Clock,
+    /** Workers by name; one that is missing is unreachable. */
+    readonly services: Map<string, WorkerService>,
+  ) {}
+
+  static create(options: MemoryWorkerConnectorOptions): MemoryWorkerConnector {
+    return new MemoryWorkerConnector(
+      options.clock,
+      options.services ?? new Map(),
+    );
+  }
+
+  connect(worker: Worker): MemoryWorker {
+    const known = this.workers.get(worker.name);
+    if (known) return known;
+    const created = MemoryWorker.create({
+      clock: this.clock,
+      service: this.services.get(worker.name) ?? this.unreachable(worker.name),
+    });
+    if (this.services.has(worker.name)) this.workers.set(worker.name, created);
+    return created;
+  }
+
+  private unreachable(name: string): WorkerService {
+    const service = WorkerService.create({name, clock: this.clock});
+    service.faults.set({outage: true});
+    return service;
+  }
+}
--- /dev/null
+++ b/packages/platform-stand-ins/src/running_task.ts
@@ -0,0 +1,144 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {TaskPhase, TaskStart, WorkerTask} from '@cardamomfield/platform';
+import {TaskBehaviour} from './task_behaviour.js';
+import {Notifier} from './notifier.js';
+
+interface RunningTaskOptions {
+  clock: Clock;
+  start: TaskStart;
+  /** Fails at once whatever the payload says. */
+  isBroken: boolean;
+}
+
+/** One started task of a stand-in worker. */
+export class RunningTask {
+  phase: TaskPhase = 'running';
+  endedAt: number | undefined;
+  value: WorkerTask['value'];
+  reportedUsage: WorkerTask['usage'];
+  /** The worker's sequence at the last change of this task. */
+  changedAt = 0;
+  leaseDeadline: number;
+  readonly startedAt: number;
+  private throttledTo = Infinity;
+  private stopRequested = false;
+  private readonly behaviour: TaskBehaviour;
+  private readonly changed: Notifier;
+
+  private constructor(
+    private readonly clock: Clock,
+    readonly start: TaskStart,
+    private readonly isBroken: boolean,
+  ) {
+    this.leaseDeadline = start.leaseDeadline;
+    this.startedAt = clock.wallNow();
+    this.behaviour = TaskBehaviour.catch(TaskBehaviour.parse({})).parse(
+      start.payload,
+    );
+    this.changed = Notifier.create(clock);
+  }
+
+  static create(options: RunningTaskOptions): RunningTask {
+    return new RunningTask(options.clock, options.start, options.isBroken);
+  }
+
+  /** Resolves with the final phase when the task ends. */
+  async run(): Promise<TaskPhase> {
+    const endsAt = this.clock.wallNow() + this.remaining();
+    for (;;) {
+      const now = this.clock.wallNow();
+      if (this.stopRequested) return 'stopped';
+      // A task that could end at the instant its lease lapses did finish.
+      if (now >= endsAt) return this.isFailing() ? 'failed' : 'succeeded';
+      if (now >= this.leaseDeadline) return 'lease-expired';
+      const next = Math.min(endsAt, this.leaseDeadline);
+      await this.changed.wait(this.clock.monotonicNow() + next - now);
+    }
+  }
+
+  /** Marks the task as ended. */
+  finish(phase: TaskPhase): void {
+    this.phase = phase;
+    this.endedAt = this.clock.wallNow();
+    if (phase === 'succeeded') this.value = this.behaviour.value;
+    if (phase === 'failed') this.value = this.failureValue();
+  }
+
+  /** Ends the task at once. */
+  stop(): void {
+    this.stopRequested = true;
+    this.changed.notify();
+  }
+
+  /** Moves the lease deadline forward, never back. */
+  renew(leaseDeadline: number): void {
+    this.leaseDeadline = Math.max(this.leaseDeadline, leaseDeadline);
+    this.changed.notify();
+  }
+
+  /** Limits the processor use that later reports show. */
+  throttle(processorMillicores: number): void {
+    this.throttledTo = processorMillicores;
+  }
+
+  /** What the task uses now. */
+  usage(): NonNullable<WorkerTask['usage']> {
+    const usage = this.behaviour.usage ?? this.start.demand;
+    const processorMillicores = Math.min(
+      usage.processorMillicores,
+      this.throttledTo,
+    );
+    return {...usage, processorMillicores};
+  }
+
+  /** State from which another start can continue. */
+  checkpoint(): {ranMilliseconds: number} {
+    const ranHere = this.clock.wallNow() - this.startedAt;
+    return {ranMilliseconds: this.ranBefore() + ranHere};
+  }
+
+  /** The task as the worker lists it. */
+  view(): WorkerTask {
+    const {start} = this;
+    return {
+      task: start.task,
+      epoch: start.epoch,
+      coordinator: start.coordinator,
+      team: start.team,
+      service: start.service,
+      kind: start.kind,
+      idempotent: start.idempotent,
+      demand: start.demand,
+      phase: this.phase,
+      startedAt: this.startedAt,
+      leaseDeadline: this.leaseDeadline,
+      ...(this.endedAt !== undefined && {endedAt: this.endedAt}),
+      ...(this.value !== undefined && {value: this.value}),
+      ...(this.reportedUsage && {usage: this.reportedUsage}),
+    };
+  }
+
+  private isFailing(): boolean {
+    return this.isBroken || this.behaviour.fail;
+  }
+
+  private failureValue(): WorkerTask['value'] {
+    if (this.isBroken) return {message: 'injected fault of the worker'};
+    return this.behaviour.value;
+  }
+
+  private remaining(): number {
+    if (this.isBroken) return 0;
+    if (this.start.kind === 'service') {
+      return this.behaviour.fail ? this.behaviour.runMilliseconds : Infinity;
+    }
+    return Math.max(0, this.behaviour.runMilliseconds - this.ranBefore());
+  }
+
+  private ranBefore(): number {
+    const checkpoint = this.start.checkpoint as
+      {ranMilliseconds?: unknown} | null | undefined;
+    const ran = checkpoint?.ranMilliseconds;
+    return typeof ran === 'number' ? ran : 0;
+  }
+}
--- /dev/null
+++ b/packages/platform-stand-ins/src/worker_service.ts
@@ -0,0 +1,252 @@
+import type {Clock} from '@cardamomfield/clock';
+import {
+  NotFoundError,
+  RefusedError,
+  UnavailableError,
+} from '@cardamomfield/errors';
+import type {
+  LeaseRenewal,
+  TaskStart,
+  WorkerSnapshot,
+} from '@cardamomfield/platform';
+import {formatTaskIdentity, type TaskIdentity} from '@cardamomfield/types';
+import {type Either, Left, Right} from 'purify-ts';
+import type {Exchange} from './exchange.js';
+import {FaultGate} from './fault_gate.js';
+import {Notifier} from './notifier.js';
+import {RunningTask} from './running_task.js';
+import type {StartRecord} from './start_record.js';
+import type {WorkerBehaviour} from './worker_behaviour.js';
+import {WorkLedger} from './work_ledger.js';
+
+const DEFAULT_BEHAVIOUR: WorkerBehaviour = {
+  failEveryTask: false,
+  honoursStartNotAfter: true,
+  usageLagMilliseconds: 2_000,
+  endedKeptMilliseconds: 60_000,
+};
+
+interface WorkerServiceOptions {
+  name: string;
+  clock: Clock;
+  behaviour?: Partial<WorkerBehaviour>;
+  /** Shared by the workers of one test; absent: an own one. */
+  ledger?: WorkLedger;
+}
+
+interface WatchRequest {
+  after?: {incarnation: string; sequence: number};
+  /** Monotonic instant on the worker's clock. */
+  waitUntil?: number;
+}
+
+/**
+ * The behaviour of a worker, without a transport. It refuses no overload and
+ * starts a task again when it is told to, so that oracles see every breach.
+ */
+export class WorkerService {
+  readonly faults: FaultGate;
+  readonly ledger: WorkLedger;
+  private readonly clock: Clock;
+  private behaviour: WorkerBehaviour;
+  private readonly changed: Notifier;
+  private tasks = new Set<RunningTask>();
+  private sequence = 0;
+  private restarts = 0;
+  private incarnation: string;
+
+  private constructor(
+    readonly name: string,
+    options: WorkerServiceOptions,
+  ) {
+    this.clock = options.clock;
+    this.behaviour = {...DEFAULT_BEHAVIOUR, ...options.behaviour};
+    this.ledger = options.ledger ?? WorkLedger.create();
+    this.faults = FaultGate.create({clock: options.clock});
+    this.changed = Notifier.create(options.clock);
+    this.incarnation = this.nextIncarnation();
+    this.faults.onChange(() => this.changed.notify());
+  }
+
+  static create(options: WorkerServiceOptions): WorkerService {
+    return new WorkerService(options.name, options);
+  }
+
+  /** Changes some of the behaviour and leaves the rest. */
+  setBehaviour(behaviour: Partial<WorkerBehaviour>): void {
+    this.behaviour = {...this.behaviour, ...behaviour};
+  }
+
+  /** Ends all tasks, forgets them and begins a new incarnation. */
+  restart(): void {
+    const lost = this.tasks;
+    this.tasks = new Set();
+    for (const task of lost) task.stop();
+    this.sequence = 0;
+    this.incarnation = this.nextIncarnation();
+    this.changed.notify();
+  }
+
+  start(start: TaskStart): Promise<Exchange<Either<RefusedError, void>>> {
+    return this.faults.exchange(true, () => this.startNow(start));
+  }
+
+  stop(task: TaskIdentity): Promise<Exchange<Either<never, void>>> {
+    return this.faults.exchange(true, async () => {
+      const stopping = this.runningOf(task);
+      for (const running of stopping) running.stop();
+      while (stopping.some(running => running.phase === 'running')) {
+        await this.changed.wait(Infinity);
+      }
+      return Right(undefined);
+    });
+  }
+
+  checkpoint(
+    task: TaskIdentity,
+  ): Promise<Exchange<Either<NotFoundError, unknown>>> {
+    return this.faults.exchange(true, () =>
+      this.findRunning(task).map(running => running.checkpoint()),
+    );
+  }
+
+  throttle(
+    task: TaskIdentity,
+    processorMillicores: number,
+  ): Promise<Exchange<Either<NotFoundError, void>>> {
+    return this.faults.exchange(true, () =>
+      this.findRunning(task).map(running => {
+        running.throttle(processorMillicores);
+        void this.reportUsage(running);
+      }),
+    );
+  }
+
+  renewLeases(
+    renewals: readonly LeaseRenewal[],
+  ): Promise<Exchange<Either<never, TaskIdentity[]>>> {
+    return this.faults.exchange(true, () => Right(this.renewNow(renewals)));
+  }
+
+  watch(
+    request: WatchRequest,
+  ): Promise<Exchange<Either<UnavailableError, WorkerSnapshot>>> {
+    return this.faults.exchange(false, async () => {
+      const waitUntil = request.waitUntil ?? -Infinity;
+      while (!this.hasChanged(request.after)) {
+        if (this.clock.monotonicNow() >= waitUntil) break;
+        await this.changed.wait(waitUntil);
+        if (this.faults.current().outage) {
+          return Left(UnavailableError.create('injected outage'));
+        }
+      }
+      return Right(this.snapshot(request.after));
+    });
+  }
+
+  private startNow(start: TaskStart): Either<RefusedError, void> {
+    const now = this.clock.wallNow();
+    const isLate = now > start.startNotAfter;
+    if (isLate && this.behaviour.honoursStartNotAfter) {
+      const details = {reason: 'start-not-after', now};
+      return Left(RefusedError.create('the start came too late', details));
+    }
+    const task = RunningTask.create({
+      clock: this.clock,
+      start,
+      isBroken: this.behaviour.failEveryTask,
+    });
+    const record = this.ledger.began(this.name, start, now);
+    this.tasks.add(task);
+    this.touch(task);
+    void this.runToEnd(task, record);
+    void this.reportUsage(task);
+    return Right(undefined);
+  }
+
+  private async runToEnd(
+    task: RunningTask,
+    record: StartRecord,
+  ): Promise<void> {
+    const tasks = this.tasks;
+    const phase = await task.run();
+    task.finish(phase);
+    this.ledger.ended(record, phase, task.endedAt!);
+    if (tasks === this.tasks) this.touch(task);
+    else this.changed.notify();
+  }
+
+  private async reportUsage(task: RunningTask): Promise<void> {
+    const usage = task.usage();
+    const lag = this.behaviour.usageLagMilliseconds;
+    await this.clock.sleepUntil(this.clock.monotonicNow() + lag);
+    if (task.phase !== 'running' || !this.tasks.has(task)) return;
+    task.reportedUsage = usage;
+    this.touch(task);
+  }
+
+  private renewNow(renewals: readonly LeaseRenewal[]): TaskIdentity[] {
+    const ended: TaskIdentity[] = [];
+    for (const renewal of renewals) {
+      const running = this.runningOf(renewal.task);
+      for (const task of running) task.renew(renewal.leaseDeadline);
+      if (running.length === 0) ended.push(renewal.task);
+    }
+    return ended;
+  }
+
+  private runningOf(identity: TaskIdentity): RunningTask[] {
+    const name = formatTaskIdentity(identity);
+    return [...this.tasks].filter(
+      task =>
+        task.phase === 'running' &&
+        formatTaskIdentity(task.start.task) === name,
+    );
+  }
+
+  private findRunning(
+    identity: TaskIdentity,
+  ): Either<NotFoundError, RunningTask> {
+    const [task] = this.runningOf(identity);
+    if (task) return Right(task);
+    return Left(NotFoundError.create('no such running task', {...identity}));
+  }
+
+  private touch(task: RunningTask): void {
+    this.sequence += 1;
+    task.changedAt = this.sequence;
+    this.changed.notify();
+  }
+
+  private hasChanged(after: WatchRequest['after']): boolean {
+    if (after?.incarnation !== this.incarnation) return true;
+    return this.sequence > after.sequence;
+  }
+
+  private snapshot(after: WatchRequest['after']): WorkerSnapshot {
+    this.forgetEnded();
+    const isDelta = after?.incarnation === this.incarnation;
+    const since = isDelta ? after.sequence : -1;
+    const changed = [...this.tasks].filter(task => task.changedAt > since);
+    return {
+      worker: this.name,
+      incarnation: this.incarnation,
+      sequence: this.sequence,
+      tasks: changed.map(task => task.view()),
+    };
+  }
+
+  private forgetEnded(): void {
+    const oldest = this.clock.wallNow() - this.behaviour.endedKeptMilliseconds;
+    for (const task of this.tasks) {
+      if (task.endedAt !== undefined && task.endedAt < oldest) {
+        this.tasks.delete(task);
+      }
+    }
+  }
+
+  private nextIncarnation(): string {
+    this.restarts += 1;
+    return `${this.name}-${this.clock.wallNow()}-${this.restarts}`;
+  }
+}
