Accept, follow and publish the configuration

The fold refuses a stale base that touches an item changed since that base, broken references, malformed records and removals of unknown items. A whole configuration touches only the items that differ, so it keeps the unrelated changes of others.

Two workers with the same address are refused: one host listed twice would be given twice its capacity. Items are kept in objects without a prototype, so a caller's service named "constructor" finds nothing.

The service adopts the log's state only once the tail has been read, takes the highest version from its peers until then, and never applies a lower one.

--- /dev/null
+++ b/packages/configuration/src/check_references.ts
@@ -0,0 +1,128 @@
+import {isIP} from 'node:net';
+import type {ConfigurationState, Worker} from '@cardamomfield/types';
+import type {ConfigurationDelta} from './configuration_delta.js';
+import type {Refusal} from './refusal.js';
+
+/**
+ * Checks the items that the delta touched against the configuration that
+ * results from it. Untouched items were checked when they were accepted.
+ */
+export function checkReferences(
+  result: ConfigurationState,
+  delta: ConfigurationDelta,
+): Refusal | undefined {
+  const message =
+    workerProblem(result, delta.put.workers) ??
+    serviceProblem(result, delta.put.services) ??
+    ruleProblem(result, delta.put.rules) ??
+    removalProblem(result, delta.remove);
+  if (message === undefined) return undefined;
+  return {code: 'broken-reference', message};
+}
+
+function workerProblem(
+  result: ConfigurationState,
+  put: readonly Worker[],
+): string | undefined {
+  if (put.length === 0) return undefined;
+  const names = namesByEndpoint(result);
+  for (const worker of put) {
+    const {name, rack, services, address} = worker;
+    if (!result.racks[rack]) {
+      return `worker ${name} is in rack ${rack}, which does not exist`;
+    }
+    const missing = services.find(service => !result.services[service]);
+    if (missing !== undefined) {
+      return `worker ${name} runs service ${missing}, which does not exist`;
+    }
+    const hostname = new URL(address).hostname.replace(/^\[|\]$/g, '');
+    if (isIP(hostname) === 0) {
+      return `worker ${name} has address ${address}, which is not an IP number`;
+    }
+    // One host listed twice would be given twice what it can hold.
+    const [first, second] = names.get(endpointOf(address))!.sort();
+    if (second !== undefined) {
+      return `workers ${first} and ${second} have the same address ${address}`;
+    }
+  }
+  return undefined;
+}
+
+function namesByEndpoint(result: ConfigurationState): Map<string, string[]> {
+  const names = new Map<string, string[]>();
+  for (const {name, address} of Object.values(result.workers)) {
+    const endpoint = endpointOf(address);
+    names.set(endpoint, [...(names.get(endpoint) ?? []), name]);
+  }
+  return names;
+}
+
+/** Host and port of an address. */
+function endpointOf(address: string): string {
+  const [, scheme, host] = /^(https?):\/\/([^/?#]+)/i.exec(address)!;
+  const port = scheme!.toLowerCase() === 'https' ? ':443' : ':80';
+  const hasPort = /:\d+$/.test(host!);
+  return host!.toLowerCase() + (hasPort ? '' : port);
+}
+
+function serviceProblem(
+  result: ConfigurationState,
+  put: ConfigurationDelta['put']['services'],
+): string | undefined {
+  for (const {name, teams} of put) {
+    const missing = teams.find(team => !result.teams[team]);
+    if (missing !== undefined) {
+      return `service ${name} allows team ${missing}, which does not exist`;
+    }
+  }
+  return undefined;
+}
+
+function ruleProblem(
+  result: ConfigurationState,
+  put: ConfigurationDelta['put']['rules'],
+): string | undefined {
+  for (const {name, service, team} of put) {
+    if (service !== undefined && !result.services[service]) {
+      return `rule ${name} selects service ${service}, which does not exist`;
+    }
+    if (team !== undefined && !result.teams[team]) {
+      return `rule ${name} selects team ${team}, which does not exist`;
+    }
+  }
+  return undefined;
+}
+
+function removalProblem(
+  result: ConfigurationState,
+  remove: ConfigurationDelta['remove'],
+): string | undefined {
+  const racks = new Set(remove.racks);
+  const services = new Set(remove.services);
+  const teams = new Set(remove.teams);
+  if (racks.size + services.size + teams.size === 0) return undefined;
+  for (const worker of Object.values(result.workers)) {
+    if (racks.has(worker.rack)) {
+      return `rack ${worker.rack} still has worker ${worker.name}`;
+    }
+    const used = worker.services.find(service => services.has(service));
+    if (used !== undefined) {
+      return `service ${used} is still run by worker ${worker.name}`;
+    }
+  }
+  for (const service of Object.values(result.services)) {
+    const used = service.teams.find(team => teams.has(team));
+    if (used !== undefined) {
+      return `team ${used} is still allowed by service ${service.name}`;
+    }
+  }
+  for (const rule of Object.values(result.rules)) {
+    if (rule.service !== undefined && services.has(rule.service)) {
+      return `service ${rule.service} is still selected by rule ${rule.name}`;
+    }
+    if (rule.team !== undefined && teams.has(rule.team)) {
+      return `team ${rule.team} is still selected by rule ${rule.name}`;
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/configuration/src/configuration.ts
@@ -0,0 +1,294 @@
+import type {Clock} from '@cardamomfield/clock';
+import {
+  RefusedError,
+  type TypedError,
+  UnavailableError,
+} from '@cardamomfield/errors';
+import type {FollowedStream} from '@cardamomfield/log-follower';
+import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
+import {
+  type PeerNetwork,
+  configurationFetch,
+  configurationSection,
+} from '@cardamomfield/peer-protocol';
+import type {Timeline} from '@cardamomfield/timeline';
+import {type Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import type {ConfigurationChange} from './configuration_change.js';
+import type {ConfigurationHistory} from './configuration_history.js';
+import {ConfigurationRecord} from './configuration_record.js';
+import {NO_VERSION} from './no_version.js';
+import type {PublishOutcome} from './publish_outcome.js';
+import type {Refusal} from './refusal.js';
+import type {Verdict} from './verdict.js';
+import type {VersionedConfiguration} from './versioned_configuration.js';
+import {withDictionaries} from './with_dictionaries.js';
+
+/** Period between two comparisons with the versions of the peers. */
+const COMPARE_PERIOD_MILLISECONDS = 500;
+
+/**
+ * A process that is behind a peer for this long, although it follows the log,
+ * takes the configuration from that peer.
+ */
+const BEHIND_PERIOD_MILLISECONDS = 1_000;
+
+/** Longest wait for the versions of peers that are only just connected. */
+const PEER_VERSION_PERIOD_MILLISECONDS = 2_000;
+
+/** Longest wait for one answer of a peer. */
+const FETCH_PERIOD_MILLISECONDS = 2_000;
+
+const DEFAULT_LOG_CALL_MILLISECONDS = 2_000;
+
+interface ConfigurationOptions {
+  stream: FollowedStream<ConfigurationHistory>;
+  network: PeerNetwork;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  timeline: Timeline;
+  /** Longest wait for one tail read while starting. */
+  logCallMilliseconds?: number;
+}
+
+interface PublishOptions {
+  /** Version that the editor started from. */
+  base: number;
+  editor: string;
+  /** Name by which `findVerdict` finds the verdict after a lost answer. */
+  publication?: string;
+}
+
+type Listener = (configuration: VersionedConfiguration) => void;
+
+/**
+ * The configuration in force in this process. Its version only rises: it
+ * comes from the log once the tail has been read, or from the peer with the
+ * highest version while the log can't be read.
+ */
+export class Configuration {
+  private inForce: VersionedConfiguration | undefined;
+  private readonly listeners = new Set<Listener>();
+  private behindDeadline: number | undefined;
+  private readonly peerVersionDeadline: number;
+
+  private constructor(private readonly options: ConfigurationOptions) {
+    const now = options.clock.monotonicNow();
+    this.peerVersionDeadline = now + PEER_VERSION_PERIOD_MILLISECONDS;
+  }
+
+  /** Registers with the stream and the peers; `run` does the rest. */
+  static create(options: ConfigurationOptions): Configuration {
+    const configuration = new Configuration(options);
+    options.stream.onChange(() => configuration.applyStream());
+    options.network.handle(configurationFetch, async (_peer, parameters) =>
+      configuration.answerFetch(parameters.atLeast),
+    );
+    options.network.publish(configurationSection, () => ({
+      version: configuration.current()?.version ?? null,
+    }));
+    configuration.applyStream();
+    return configuration;
+  }
+
+  /** The configuration in force; undefined before the process has caught up. */
+  current(): VersionedConfiguration | undefined {
+    return this.inForce;
+  }
+
+  /** Whether the process may serve. */
+  isReady(): boolean {
+    return this.inForce !== undefined;
+  }
+
+  /** Calls the listener after each change; returns an unsubscriber. */
+  onChange(listener: Listener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Catches up, and then compares with the peers, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    while (!signal.aborted) {
+      await this.catchUp();
+      await this.compareWithPeers();
+      const next = clock.monotonicNow() + COMPARE_PERIOD_MILLISECONDS;
+      await clock.sleepUntil(next, signal);
+    }
+  }
+
+  /**
+   * Publishes a change and waits for its verdict until the monotonic
+   * deadline. After `unknown` the change may or may not be in the log.
+   */
+  async publish(
+    change: ConfigurationChange,
+    options: PublishOptions,
+    deadline: number,
+  ): Promise<PublishOutcome> {
+    const parsed = ConfigurationRecord.safeParse({...options, change});
+    if (!parsed.success) {
+      const message = z.prettifyError(parsed.error);
+      return refused({code: 'malformed', message});
+    }
+    const appended = await this.options.stream.append(parsed.data, deadline);
+    const outcome = appended.caseOf({
+      Left: error => outcomeOfFailure(error, options.publication),
+      Right: offset => this.outcomeAt(offset, options.publication),
+    });
+    this.options.metrics.increment(`configuration.publish.${outcome.outcome}`);
+    return outcome;
+  }
+
+  /** The latest verdicts, oldest first, as far as the log has been read. */
+  verdicts(): readonly Verdict[] {
+    return this.options.stream.state().verdicts;
+  }
+
+  /** The verdict on a publication, when it is among the latest ones. */
+  findVerdict(publication: string): Verdict | undefined {
+    return this.verdicts().find(verdict => verdict.publication === publication);
+  }
+
+  private outcomeAt(offset: number, publication?: string): PublishOutcome {
+    const verdict = this.verdicts().find(entry => entry.offset === offset);
+    if (!verdict) {
+      const message = `the verdict on record ${offset} is no longer kept`;
+      return unknown(message, publication);
+    }
+    if (verdict.outcome === 'refused') return refused(verdict.reason);
+    return {outcome: 'accepted', version: offset};
+  }
+
+  private async catchUp(): Promise<void> {
+    const {stream, clock, logCallMilliseconds} = this.options;
+    if (!stream.isCaughtUp()) {
+      const period = logCallMilliseconds ?? DEFAULT_LOG_CALL_MILLISECONDS;
+      await stream.readFresh(clock.monotonicNow() + period);
+    }
+    this.applyStream();
+  }
+
+  private applyStream(): void {
+    const {stream} = this.options;
+    // Before the tail is reached the state is that of some earlier version.
+    if (!stream.isCaughtUp()) return;
+    const {version, state} = stream.state();
+    this.apply({version, state}, 'log');
+  }
+
+  private apply(
+    {version, state}: VersionedConfiguration,
+    source: string,
+  ): void {
+    if (this.inForce && version <= this.inForce.version) return;
+    this.inForce = {version, state};
+    this.behindDeadline = undefined;
+    const {logger, metrics, timeline} = this.options;
+    logger.info('configuration in force', {version, source});
+    metrics.gauge('configuration.version', version);
+    timeline.record('configuration.applied', {version, source});
+    for (const listener of [...this.listeners]) listener(this.inForce);
+  }
+
+  private answerFetch(
+    atLeast: number,
+  ): Either<TypedError, VersionedConfiguration> {
+    if (!this.inForce) {
+      return Left(UnavailableError.create('no configuration is in force yet'));
+    }
+    if (this.inForce.version < atLeast) {
+      const {version} = this.inForce;
+      const message = `version ${version} is lower than ${atLeast}`;
+      return Left(RefusedError.create(message, {version}));
+    }
+    return Right(this.inForce);
+  }
+
+  private async compareWithPeers(): Promise<void> {
+    if (!this.inForce && this.isWaitingForVersions()) return;
+    const candidates = this.peersAhead();
+    if (candidates.length === 0) {
+      this.behindDeadline = undefined;
+      return;
+    }
+    const now = this.options.clock.monotonicNow();
+    this.behindDeadline ??= now + BEHIND_PERIOD_MILLISECONDS;
+    if (this.inForce && now < this.behindDeadline) return;
+    for (const {peer, version} of candidates) {
+      if (await this.fetchFrom(peer, version)) return;
+    }
+  }
+
+  /** Whether a live peer may yet report a higher version than the others. */
+  private isWaitingForVersions(): boolean {
+    const {network, clock} = this.options;
+    if (clock.monotonicNow() >= this.peerVersionDeadline) return false;
+    return network
+      .livePeers()
+      .some(peer => network.latest(peer, configurationSection) === undefined);
+  }
+
+  /** Live peers with a higher version, the highest first. */
+  private peersAhead(): Array<{peer: string; version: number}> {
+    const {network} = this.options;
+    const own = this.inForce?.version ?? NO_VERSION - 1;
+    return network
+      .livePeers()
+      .flatMap(peer => {
+        const version = network.latest(peer, configurationSection)?.value
+          .version;
+        return version == null || version <= own ? [] : [{peer, version}];
+      })
+      .sort((first, second) => second.version - first.version);
+  }
+
+  private async fetchFrom(peer: string, version: number): Promise<boolean> {
+    const {network, clock, logger, metrics} = this.options;
+    const answer = await network.call(
+      peer,
+      configurationFetch,
+      {atLeast: version},
+      clock.monotonicNow() + FETCH_PERIOD_MILLISECONDS,
+    );
+    return answer.caseOf({
+      Left: error => {
+        logger.warn('configuration not fetched', {peer, error});
+        return false;
+      },
+      Right: fetched => {
+        metrics.increment('configuration.fetched');
+        const state = withDictionaries(fetched.state);
+        this.apply({version: fetched.version, state}, peer);
+        return true;
+      },
+    });
+  }
+}
+
+function refused(reason: Refusal): PublishOutcome {
+  return {outcome: 'refused', reason};
+}
+
+function unknown(message: string, publication?: string): PublishOutcome {
+  const search = publication
+    ? `look for publication ${publication} among the verdicts`
+    : 'look for the editor among the verdicts';
+  return {
+    outcome: 'unknown',
+    message,
+    findOut: `${search} once the log can be read, or publish the same change on the same base again: if the first one was accepted, the second is refused and names it as the winner`,
+  };
+}
+
+function outcomeOfFailure(
+  error: TypedError,
+  publication?: string,
+): PublishOutcome {
+  if (error.code === 'uncertain') return unknown(error.message, publication);
+  const code = error.code === 'invalid-input' ? 'malformed' : 'unavailable';
+  return refused({code, message: error.message});
+}
--- /dev/null
+++ b/packages/configuration/src/publish_outcome.ts
@@ -0,0 +1,19 @@
+import {z} from 'zod';
+import {NO_VERSION} from './no_version.js';
+import {Refusal} from './refusal.js';
+
+/** What the publisher of a change learns. */
+export const PublishOutcome = z.discriminatedUnion('outcome', [
+  z.strictObject({
+    outcome: z.literal('accepted'),
+    version: z.int().min(NO_VERSION),
+  }),
+  z.strictObject({outcome: z.literal('refused'), reason: Refusal}),
+  z.strictObject({
+    outcome: z.literal('unknown'),
+    message: z.string(),
+    /** What the publisher can do to learn the outcome. */
+    findOut: z.string(),
+  }),
+]);
+export type PublishOutcome = z.infer<typeof PublishOutcome>;
--- a/packages/settings/src/entry_settings.ts
+++ b/packages/settings/src/entry_settings.ts
@@ -145,12 +145,6 @@
       100,
       60_000,
     ),
-    configurationFetchMilliseconds: integer(
-      'A starting process that has not read the log for this period takes the configuration from its peers.',
-      2_000,
-      0,
-      60_000,
-    ),
     journalAppendsPerSecond: integer(
       'Most appends to the request journal in one second.',
       20,
