--- /dev/null
+++ b/packages/group-owner/src/lease_keeper.ts
@@ -0,0 +1,93 @@
+import type {OwnedTask} from './owned_task.js';
+import type {OwnerContext} from './owner_context.js';
+import type {TaskEnds} from './task_ends.js';
+import type {WorkerSession} from './worker_session.js';
+import type {WorkerSessions} from './worker_sessions.js';
+
+/** Parts of the renewal period over which the workers are spread. */
+const SLICES = 10;
+
+/**
+ * Renews the leases of running tasks, one message a worker, and ends tasks
+ * whose lease has certainly run out on a worker that can't be reached.
+ */
+export class LeaseKeeper {
+  private readonly renewedAt = new Map<string, number>();
+
+  private constructor(
+    private readonly context: OwnerContext,
+    private readonly sessions: WorkerSessions,
+    private readonly ends: TaskEnds,
+  ) {}
+
+  static create(
+    context: OwnerContext,
+    sessions: WorkerSessions,
+    ends: TaskEnds,
+  ): LeaseKeeper {
+    return new LeaseKeeper(context, sessions, ends);
+  }
+
+  /** Runs until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, settings} = this.context;
+    while (!signal.aborted) {
+      for (const session of this.sessions.all()) this.serve(session);
+      const pause = settings.renewalMilliseconds / SLICES;
+      await clock.sleepUntil(clock.monotonicNow() + pause, signal);
+    }
+  }
+
+  private serve(session: WorkerSession): void {
+    const {book, clock, settings} = this.context;
+    const tasks = book.ofWorker(session.worker.name).filter(isStarted);
+    this.endExpired(session, tasks);
+    const renewedAt = this.renewedAt.get(session.worker.name) ?? -Infinity;
+    const now = clock.monotonicNow();
+    if (now < renewedAt + settings.renewalMilliseconds) return;
+    const renewable = tasks.filter(task => task.stage === 'running');
+    if (renewable.length === 0) return;
+    this.renewedAt.set(session.worker.name, now);
+    void this.renew(session, renewable);
+  }
+
+  private async renew(
+    session: WorkerSession,
+    tasks: readonly OwnedTask[],
+  ): Promise<void> {
+    const {clock, metrics, ownership, settings} = this.context;
+    if (!ownership.authority(session.worker.rack)?.isHeld()) return;
+    const leaseDeadline = clock.wallNow() + settings.leaseMilliseconds;
+    const renewals = tasks.map(task => {
+      task.leaseDeadline = Math.max(task.leaseDeadline, leaseDeadline);
+      return {task: task.identity, leaseDeadline};
+    });
+    const deadline = clock.monotonicNow() + settings.commandMilliseconds;
+    const answer = await session.client.renewLeases(renewals, deadline);
+    metrics.increment('leases.renewed', renewals.length);
+    const isOver = answer.caseOf({
+      Left: () => false,
+      Right: ended => ended.length > 0,
+    });
+    // The list tells how the tasks ended; the answer only that they did.
+    if (isOver) session.requestFullRead();
+    if (answer.isLeft()) this.renewedAt.delete(session.worker.name);
+  }
+
+  private endExpired(
+    session: WorkerSession,
+    tasks: readonly OwnedTask[],
+  ): void {
+    if (session.isReadable) return;
+    const {clock, settings} = this.context;
+    const now = clock.wallNow() - settings.clockSkewMilliseconds;
+    for (const task of tasks) {
+      if (now <= task.leaseDeadline || task.stage === 'starting') continue;
+      this.ends.lost(task, 'its lease expired on a worker that is unreachable');
+    }
+  }
+}
+
+function isStarted(task: OwnedTask): boolean {
+  return task.mayRun();
+}
--- /dev/null
+++ b/packages/group-owner/src/task_ends.ts
@@ -0,0 +1,92 @@
+import type {TaskUpdate} from '@cardamomfield/peer-protocol';
+import type {WorkerTask} from '@cardamomfield/platform';
+import type {OwnedTask} from './owned_task.js';
+import type {OwnerContext} from './owner_context.js';
+
+type Stage = TaskUpdate['stage'];
+type Fields<S extends Stage> = Omit<
+  Extract<TaskUpdate, {stage: S}>,
+  'stage' | 'task' | 'epoch'
+>;
+
+/** Ends tasks: frees the reservation, tells the coordinator, keeps the news. */
+export class TaskEnds {
+  private constructor(private readonly context: OwnerContext) {}
+
+  static create(context: OwnerContext): TaskEnds {
+    return new TaskEnds(context);
+  }
+
+  /** Tells the coordinator that the task runs. */
+  running(task: OwnedTask): void {
+    task.stage = 'running';
+    this.tell(task, this.update(task, 'running', {worker: task.worker}));
+  }
+
+  /** The worker shows a final phase. */
+  fromWorker(task: OwnedTask, found: WorkerTask): void {
+    const {health} = this.context;
+    if (found.phase === 'stopped' && task.stopReason !== undefined) {
+      this.displaced(task, task.stopReason);
+      return;
+    }
+    const succeeded = found.phase === 'succeeded';
+    health.record(task.worker, task.facts.service, succeeded);
+    const value = found.value ?? (succeeded ? null : {ended: found.phase});
+    const fields = {worker: task.worker, succeeded, value};
+    this.end(task, this.update(task, 'ended', fields));
+  }
+
+  /** It is proved that the task did not start. */
+  notStarted(task: OwnedTask, reason: string): void {
+    this.end(task, this.update(task, 'not-started', {reason}));
+  }
+
+  /** The task was stopped on purpose and runs no longer. */
+  displaced(
+    task: OwnedTask,
+    reason: string,
+    checkpoint?: Fields<'displaced'>['checkpoint'],
+  ): void {
+    const fields = {worker: task.worker, reason};
+    const kept = checkpoint === undefined ? {} : {checkpoint};
+    this.end(task, this.update(task, 'displaced', {...fields, ...kept}));
+  }
+
+  /** The task may have run and certainly runs no longer. */
+  lost(task: OwnedTask, reason: string): void {
+    const fields = {worker: task.worker, reason};
+    this.end(task, this.update(task, 'lost', fields));
+  }
+
+  /** This owner can no longer tell; a later owner will. */
+  abandoned(task: OwnedTask, reason: string): void {
+    const {book, scheduler} = this.context;
+    const fields = {worker: task.worker, reason};
+    this.tell(task, this.update(task, 'in-doubt', fields));
+    scheduler.release(task.identity);
+    book.remove(task);
+  }
+
+  private end(task: OwnedTask, update: TaskUpdate): void {
+    const {book, clock, scheduler, settings, work} = this.context;
+    scheduler.release(task.identity);
+    book.end(task, clock.monotonicNow() + settings.retentionMilliseconds);
+    this.tell(task, update);
+    work.notify();
+  }
+
+  private tell(task: OwnedTask, update: TaskUpdate): void {
+    task.update = update;
+    this.context.updates.send(task.coordinator, update);
+  }
+
+  private update<S extends Stage>(
+    task: OwnedTask,
+    stage: S,
+    fields: Fields<S>,
+  ): TaskUpdate {
+    const base = {task: task.identity, epoch: task.epoch};
+    return {...base, stage, ...fields} as unknown as TaskUpdate;
+  }
+}
--- /dev/null
+++ b/packages/group-owner/src/task_stopper.ts
@@ -0,0 +1,106 @@
+import {formatTaskIdentity} from '@cardamomfield/types';
+import type {OwnedTask} from './owned_task.js';
+import type {OwnerContext} from './owner_context.js';
+import type {TaskEnds} from './task_ends.js';
+import type {WorkerSessions} from './worker_sessions.js';
+
+/** Pause after a stop that could not be confirmed. */
+const RETRY_PAUSE_MILLISECONDS = 500;
+
+interface Stop {
+  task: OwnedTask;
+  withCheckpoint: boolean;
+}
+
+/**
+ * Stops running tasks, a bounded number at once, and tells the coordinator
+ * only when the worker has confirmed that the task no longer runs.
+ */
+export class TaskStopper {
+  private readonly waiting: Stop[] = [];
+  private readonly known = new Set<string>();
+  private active = 0;
+
+  private constructor(
+    private readonly context: OwnerContext,
+    private readonly sessions: WorkerSessions,
+    private readonly ends: TaskEnds,
+  ) {}
+
+  static create(
+    context: OwnerContext,
+    sessions: WorkerSessions,
+    ends: TaskEnds,
+  ): TaskStopper {
+    return new TaskStopper(context, sessions, ends);
+  }
+
+  /** Stops a task for the reason, with a checkpoint if it is to go on. */
+  stop(task: OwnedTask, reason: string, withCheckpoint: boolean): void {
+    task.stopReason ??= reason;
+    // A start under way can't be stopped yet; the dispatcher asks again.
+    if (task.stage !== 'running') return;
+    const name = formatTaskIdentity(task.identity);
+    if (this.known.has(name)) return;
+    this.known.add(name);
+    this.waiting.push({task, withCheckpoint});
+    this.startNext();
+  }
+
+  private startNext(): void {
+    const {maximumStops} = this.context.settings;
+    while (this.active < maximumStops) {
+      const next = this.waiting.shift();
+      if (!next) return;
+      this.active += 1;
+      void this.carryOut(next);
+    }
+  }
+
+  private async carryOut(stop: Stop): Promise<void> {
+    const isDone = await this.tryStop(stop);
+    this.active -= 1;
+    if (isDone) this.known.delete(formatTaskIdentity(stop.task.identity));
+    else void this.retryLater(stop);
+    this.startNext();
+  }
+
+  private async retryLater(stop: Stop): Promise<void> {
+    const {clock} = this.context;
+    await clock.sleepUntil(clock.monotonicNow() + RETRY_PAUSE_MILLISECONDS);
+    this.waiting.push(stop);
+    this.startNext();
+  }
+
+  /** True once nothing is left to do. */
+  private async tryStop({task, withCheckpoint}: Stop): Promise<boolean> {
+    const {clock, ownership, settings} = this.context;
+    if (task.stage !== 'running') return true;
+    const session = this.sessions.find(task.worker);
+    const authority = ownership.authority(task.group);
+    if (!session || !authority) return true;
+    if (!authority.isHeld()) return false;
+    const checkpoint = withCheckpoint
+      ? await this.saveState(task, session.client)
+      : undefined;
+    if (task.stage !== 'running') return true;
+    const deadline = clock.monotonicNow() + settings.commandMilliseconds;
+    const stopped = await session.client.stop(task.identity, deadline);
+    if (stopped.isLeft()) return false;
+    // The watch may have shown the end meanwhile.
+    if (task.stage === 'running') {
+      this.ends.displaced(task, task.stopReason ?? 'stopped', checkpoint);
+    }
+    return true;
+  }
+
+  private async saveState(
+    task: OwnedTask,
+    client: WorkerSessions['clientType'],
+  ): Promise<never | undefined> {
+    const {clock, settings} = this.context;
+    const deadline = clock.monotonicNow() + settings.commandMilliseconds;
+    const saved = await client.checkpoint(task.identity, deadline);
+    return saved.toMaybe().extract() as never | undefined;
+  }
+}
