Add the owner's side of worker groups

Dispatch, leases, recovery from the workers' task lists, stops and drains. A start that was not answered is settled only by a list that was asked for after the start could no longer take effect.

--- a/packages/group-owner/src/deputy_renewals.ts
+++ b/packages/group-owner/src/deputy_renewals.ts
@@ -1,5 +1,5 @@
 import type {WorkerClient, WorkerConnector} from '@cardamomfield/platform';
-import type {ConfigurationState, Worker} from '@cardamomfield/types';
+import type {Worker} from '@cardamomfield/types';
 import type {OwnerContext} from './owner_context.js';
 
 /** Period of the check for silent owners. */
@@ -8,7 +8,8 @@
 interface DeputyRenewalsOptions {
   context: OwnerContext;
   connector: WorkerConnector;
-  configuration: () => ConfigurationState | undefined;
+  /** Workers of all groups of the configuration. */
+  workersByGroup: () => ReadonlyMap<string, readonly Worker[]>;
 }
 
 /**
@@ -29,18 +30,18 @@
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.options.context;
     while (!signal.aborted) {
-      const configuration = this.options.configuration();
-      for (const worker of Object.values(configuration?.workers ?? {})) {
-        this.serve(worker);
+      for (const [group, workers] of this.options.workersByGroup()) {
+        const isHeld = this.isHeld(group);
+        for (const worker of workers) this.serve(worker, isHeld);
       }
       const deadline = clock.monotonicNow() + CHECK_MILLISECONDS;
       await clock.sleepUntil(deadline, signal);
     }
   }
 
-  private serve(worker: Worker): void {
+  private serve(worker: Worker, isHeld: boolean): void {
     const {clock, settings} = this.options.context;
-    if (!this.isHeld(worker)) {
+    if (!isHeld) {
       this.clients.delete(worker.name);
       return;
     }
@@ -51,9 +52,9 @@
     void this.renew(worker);
   }
 
-  private isHeld(worker: Worker): boolean {
+  private isHeld(group: string): boolean {
     const {ownership} = this.options.context;
-    return ownership.renewalAuthority(worker.rack)?.isHeld() ?? false;
+    return ownership.renewalAuthority(group)?.isHeld() ?? false;
   }
 
   private async renew(worker: Worker): Promise<void> {
@@ -63,7 +64,7 @@
       deadline: clock.monotonicNow() + settings.commandMilliseconds,
     });
     // Checked again, since the read took a while.
-    if (!this.isHeld(worker)) return;
+    if (!this.isHeld(worker.rack)) return;
     const leaseDeadline = clock.wallNow() + settings.leaseMilliseconds;
     const running = (read.toMaybe().extract()?.tasks ?? []).filter(
       task => task.phase === 'running',
--- /dev/null
+++ b/packages/group-owner/src/group_owner.ts
@@ -0,0 +1,407 @@
+import {Notifier} from '@cardamomfield/clock';
+import {RefusedError, type TypedError} from '@cardamomfield/errors';
+import {
+  CANCEL_REQUESTS,
+  FIND_TASKS,
+  type KnownTask,
+  OWNER_SUMMARY_SECTION,
+  type OwnerSummary,
+  PLACE_TASKS,
+  type PlaceOrder,
+} from '@cardamomfield/peer-protocol';
+import type {Job, ScheduleDecision} from '@cardamomfield/placement';
+import type {HostList, WorkerConnector} from '@cardamomfield/platform';
+import type {ConfigurationState, Rule, Worker} from '@cardamomfield/types';
+import {type Either, Left, Right} from 'purify-ts';
+import {DeputyRenewals} from './deputy_renewals.js';
+import {Dispatcher} from './dispatcher.js';
+import {GroupOwnerSettings} from './group_owner_settings.js';
+import {groupWorkersByRack} from './group_workers_by_rack.js';
+import {LeaseKeeper} from './lease_keeper.js';
+import {LeavingWatch} from './leaving_watch.js';
+import {OwnedTask} from './owned_task.js';
+import type {OwnerContext} from './owner_context.js';
+import {summariseOffers} from './summarise_offers.js';
+import {TaskBook} from './task_book.js';
+import {TaskEnds} from './task_ends.js';
+import {TaskStopper} from './task_stopper.js';
+import {UpdateSender} from './update_sender.js';
+import {WorkerReader} from './worker_reader.js';
+import {WorkerSessions} from './worker_sessions.js';
+
+/** Decisions made before other work gets its turn. */
+const DECISION_BATCH = 256;
+
+/** Longest pause between two looks at authority, health and queues. */
+const REFRESH_MILLISECONDS = 250;
+
+/** How long a computed summary is used again. */
+const SUMMARY_MILLISECONDS = 100;
+
+interface GroupOwnerOptions extends Omit<
+  OwnerContext,
+  'settings' | 'book' | 'updates' | 'work'
+> {
+  incarnation: string;
+  connector: WorkerConnector;
+  hosts: HostList;
+  settings?: Partial<GroupOwnerSettings>;
+  /** Rule that applies to a request, if one does. */
+  ruleFor: (order: PlaceOrder) => Rule | undefined;
+}
+
+/** The owner's side of all worker groups that this process owns. */
+export class GroupOwner {
+  private readonly context: OwnerContext;
+  private readonly sessions: WorkerSessions;
+  private readonly ends: TaskEnds;
+  private readonly stopper: TaskStopper;
+  private readonly dispatcher: Dispatcher;
+  private readonly leases: LeaseKeeper;
+  private readonly deputies: DeputyRenewals;
+  private readonly leaving: LeavingWatch;
+  private workersByGroup: ReadonlyMap<string, readonly Worker[]> = new Map();
+  private isClosed = false;
+  private latestSummary: {value: OwnerSummary; until: number} | undefined;
+
+  private constructor(private readonly options: GroupOwnerOptions) {
+    const {clock, network, connector, hosts} = options;
+    this.context = {
+      ...options,
+      settings: GroupOwnerSettings.parse(options.settings ?? {}),
+      book: TaskBook.create(),
+      updates: UpdateSender.create({network, clock}),
+      work: Notifier.create(clock),
+    };
+    const {context} = this;
+    this.ends = TaskEnds.create(context);
+    this.sessions = WorkerSessions.create({
+      context,
+      connector,
+      onSnapshot: (session, snapshot, read) =>
+        reader.take(session, snapshot, read),
+    });
+    const {sessions, ends} = this;
+    this.stopper = TaskStopper.create(context, sessions, ends);
+    const reader = WorkerReader.create(context, sessions, ends, this.stopper);
+    this.dispatcher = Dispatcher.create(
+      context,
+      sessions,
+      ends,
+      this.stopper,
+      task => this.requeue(task),
+    );
+    this.leases = LeaseKeeper.create(context, sessions, ends);
+    this.leaving = LeavingWatch.create(context, hosts, sessions, this.stopper);
+    this.deputies = DeputyRenewals.create({
+      context,
+      connector,
+      workersByGroup: () => this.workersByGroup,
+    });
+  }
+
+  static create(options: GroupOwnerOptions): GroupOwner {
+    const owner = new GroupOwner(options);
+    owner.registerHandlers();
+    return owner;
+  }
+
+  /** Runs all tasks of the owner until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    this.context.updates.start(signal);
+    await Promise.all([
+      this.runScheduling(signal),
+      this.leases.run(signal),
+      this.leaving.run(signal),
+      this.deputies.run(signal),
+    ]);
+    this.sessions.close();
+  }
+
+  /** Sets the inventory in force. */
+  setConfiguration(configuration: ConfigurationState): void {
+    this.workersByGroup = groupWorkersByRack(configuration);
+    this.sessions.setConfiguration(configuration);
+  }
+
+  /** Begins to serve a group; call it when its claim takes effect. */
+  gain(group: string, epoch: number): void {
+    this.context.timeline.record('group.gained', {group, epoch});
+    this.sessions.gain(group, epoch);
+  }
+
+  /** Ends serving a group; what can't be told is left to the next owner. */
+  lose(group: string): void {
+    const {book, timeline} = this.context;
+    timeline.record('group.lost', {group});
+    this.sessions.lose(group);
+    for (const worker of this.workersByGroup.get(group) ?? []) {
+      for (const task of book.ofWorker(worker.name)) this.leave(task);
+    }
+    this.context.work.notify();
+  }
+
+  /** Refuses new work and gives queued work back to its coordinators. */
+  close(): void {
+    this.isClosed = true;
+    for (const task of [...this.context.book.all()]) {
+      if (task.stage === 'queued') this.giveBack(task, 'the owner shuts down');
+    }
+  }
+
+  /** Starts that have no answer yet. */
+  countStarting(): number {
+    let count = 0;
+    for (const task of this.context.book.all()) {
+      if (task.stage === 'starting' || task.stage === 'in-doubt') count += 1;
+    }
+    return count;
+  }
+
+  /** Updates that a live coordinator has not taken yet. */
+  countUndelivered(): number {
+    return this.context.updates.countDeliverable();
+  }
+
+  /** Groups whose workers were all read, with the epoch of the reading. */
+  readGroups(): ReadonlyMap<string, number> {
+    return this.sessions.readGroups();
+  }
+
+  /** Live tasks whose coordinator is not there. */
+  liveOrphans(): Array<{key: string; coordinator: string}> {
+    const {network, book} = this.context;
+    const hosts = new Set([network.self, ...network.livePeers()]);
+    const orphans: Array<{key: string; coordinator: string}> = [];
+    for (const task of book.all()) {
+      if (!task.isLive() || hosts.has(task.coordinator)) continue;
+      orphans.push({
+        key: task.identity.key,
+        coordinator: task.coordinator,
+      });
+    }
+    return orphans;
+  }
+
+  /** What this owner has to offer, for coordinators. */
+  summary(): OwnerSummary {
+    const now = this.context.clock.monotonicNow();
+    if (this.latestSummary && now < this.latestSummary.until) {
+      return this.latestSummary.value;
+    }
+    const value = this.computeSummary();
+    this.latestSummary = {value, until: now + SUMMARY_MILLISECONDS};
+    return value;
+  }
+
+  /** Workers and their state, for operators. */
+  status(): unknown {
+    const {book, scheduler, health} = this.context;
+    return [...this.sessions.all()].map(({worker, isReadable}) => ({
+      worker: worker.name,
+      group: worker.rack,
+      isReachable: isReadable,
+      isLeaving: this.sessions.isLeaving(worker),
+      weight: health.weight(worker.name),
+      tasks: book.ofWorker(worker.name).length,
+      available: scheduler.availableOn(worker.name),
+    }));
+  }
+
+  private registerHandlers(): void {
+    const {network} = this.context;
+    network.publish(OWNER_SUMMARY_SECTION, () => this.summary());
+    network.handle(PLACE_TASKS, async (_peer, order) => this.place(order));
+    network.handle(CANCEL_REQUESTS, async (_peer, {keys}) => {
+      keys.forEach(key => this.cancel(key));
+      return Right({});
+    });
+    network.handle(FIND_TASKS, async (_peer, {key}) =>
+      Right({
+        tasks: this.context.book.ofKey(key).map(describe),
+        groups: Object.fromEntries(this.readGroups()),
+      }),
+    );
+  }
+
+  private place(order: PlaceOrder): Either<TypedError, Record<string, never>> {
+    const {clock, work} = this.context;
+    if (this.isClosed) {
+      return Left(RefusedError.create('the owner shuts down'));
+    }
+    if (clock.wallNow() > order.notAfter) {
+      return Left(RefusedError.create('the order arrived too late'));
+    }
+    for (const entry of order.tasks) {
+      const queued = this.enqueue(order, entry);
+      if (queued.isLeft()) {
+        this.withdrawOrder(order);
+        return queued.map(() => ({}));
+      }
+    }
+    work.notify();
+    return Right({});
+  }
+
+  private enqueue(
+    order: PlaceOrder,
+    entry: PlaceOrder['tasks'][number],
+  ): Either<TypedError, void> {
+    const {book, scheduler} = this.context;
+    const {index, attempt} = entry;
+    const identity = {key: order.key, index, attempt};
+    // The order was taken before and its answer was lost.
+    if (book.find(identity)) return Right(undefined);
+    const queued = scheduler.enqueue(this.createJob(order, entry));
+    if (queued.isRight()) book.add(OwnedTask.fromOrder(identity, order));
+    return queued;
+  }
+
+  private createJob(
+    order: PlaceOrder,
+    entry: PlaceOrder['tasks'][number],
+  ): Job {
+    const rule = this.options.ruleFor(order);
+    return {
+      key: order.key,
+      team: order.team,
+      service: order.service,
+      kind: order.kind,
+      demand: order.demand,
+      taskCount: 1,
+      taskIndexes: [entry.index],
+      deadline: order.deadline,
+      declaredRunMilliseconds: order.declaredRunMilliseconds,
+      attempt: entry.attempt,
+      excludedWorkers: new Set(order.excludedWorkers),
+      ...(rule?.policy ? {policy: rule.policy} : {}),
+      ...(rule?.queueLimit
+        ? {queueBound: {rule: rule.name, limit: rule.queueLimit}}
+        : {}),
+    };
+  }
+
+  private withdrawOrder(order: PlaceOrder): void {
+    const {book, scheduler} = this.context;
+    scheduler.withdraw(order.key);
+    for (const {index, attempt} of order.tasks) {
+      const task = book.find({key: order.key, index, attempt});
+      if (task?.stage === 'queued') book.remove(task);
+    }
+  }
+
+  private cancel(key: string): void {
+    for (const task of this.context.book.ofKey(key)) {
+      if (task.stage === 'ended') continue;
+      if (task.stage === 'queued') this.giveBack(task, 'cancelled');
+      else this.stopper.stop(task, 'cancelled', false);
+    }
+  }
+
+  /** Takes a waiting task out of the queue and tells its coordinator. */
+  private giveBack(task: OwnedTask, reason: string): void {
+    this.context.scheduler.withdraw(task.identity.key);
+    this.ends.notStarted(task, reason);
+  }
+
+  private requeue(task: OwnedTask): void {
+    const {book, scheduler} = this.context;
+    const {order} = task;
+    const refusedBy = task.worker;
+    scheduler.release(task.identity);
+    book.assign(task, '', '');
+    task.stage = 'queued';
+    const entry = order?.tasks.find(each => each.index === task.identity.index);
+    if (!order || !entry) return;
+    order.excludedWorkers.push(refusedBy);
+    const queued = scheduler.enqueue(this.createJob(order, entry));
+    queued.ifLeft(error => this.ends.notStarted(task, error.message));
+    this.context.work.notify();
+  }
+
+  private leave(task: OwnedTask): void {
+    const isTold = task.stage === 'running';
+    if (isTold) {
+      // The next owner finds the task on its worker and goes on reporting.
+      this.context.scheduler.release(task.identity);
+      this.context.book.remove(task);
+    } else {
+      this.ends.abandoned(task, 'the group has another owner');
+    }
+  }
+
+  private async runScheduling(signal: AbortSignal): Promise<void> {
+    const {book, clock, scheduler, work} = this.context;
+    let refreshAt = 0;
+    while (!signal.aborted) {
+      const now = clock.monotonicNow();
+      if (now >= refreshAt) {
+        refreshAt = now + REFRESH_MILLISECONDS;
+        this.sessions.refresh();
+        book.forgetEnded(now);
+      }
+      const decisions = scheduler.schedule(DECISION_BATCH);
+      decisions.forEach(decision => this.carryOut(decision));
+      // Input is served between two batches.
+      if (decisions.length > 0) await new Promise(setImmediate);
+      else await work.wait(Math.min(refreshAt, scheduler.nextDueAt()));
+    }
+  }
+
+  private carryOut(decision: ScheduleDecision): void {
+    const {book, scheduler} = this.context;
+    if (decision.type === 'expire') {
+      this.expire(decision);
+      return;
+    }
+    const task = book.find(decision.task);
+    if (decision.type === 'preempt') {
+      if (task) this.stopper.stop(task, 'preempted by urgent work', true);
+      return;
+    }
+    if (!task || task.stage !== 'queued') {
+      scheduler.release(decision.task);
+      return;
+    }
+    book.assign(task, decision.worker, decision.group);
+    void this.dispatcher.dispatch(task);
+  }
+
+  private expire(decision: Extract<ScheduleDecision, {type: 'expire'}>): void {
+    const {key, attempt, taskIndexes} = decision;
+    for (const index of taskIndexes) {
+      const task = this.context.book.find({key, index, attempt});
+      if (task?.stage !== 'queued') continue;
+      this.ends.notStarted(task, 'the deadline passed in the queue');
+    }
+  }
+
+  private computeSummary(): OwnerSummary {
+    const {scheduler} = this.context;
+    const isUsable = (worker: string) =>
+      this.sessions.find(worker)?.isReadable ?? false;
+    const expectedWait = Object.fromEntries(
+      scheduler
+        .summary()
+        .classes.map(({kind, expectedWaitMilliseconds}) => [
+          kind,
+          expectedWaitMilliseconds,
+        ]),
+    );
+    return {
+      incarnation: this.options.incarnation,
+      isLeaving: this.isClosed,
+      offers: summariseOffers(this.sessions, scheduler, isUsable),
+      expectedWait,
+    };
+  }
+}
+
+function describe(task: OwnedTask): KnownTask {
+  return {
+    task: task.identity,
+    coordinator: task.coordinator,
+    isLive: task.isLive(),
+    ...(task.update ? {update: task.update} : {}),
+  };
+}
--- a/packages/group-owner/src/index.ts
+++ b/packages/group-owner/src/index.ts
@@ -1,2 +1,5 @@
-/** The owner's side of a worker group: sessions with workers, reservations, dispatch, leases and recovery. */
-export {};
+/** The owner's side of worker groups. */
+export * from './group_authority_view.js';
+export * from './group_owner.js';
+export * from './group_owner_settings.js';
+export * from './health_view.js';
--- /dev/null
+++ b/packages/group-owner/src/leaving_watch.ts
@@ -0,0 +1,61 @@
+import type {HostList} from '@cardamomfield/platform';
+import type {OwnerContext} from './owner_context.js';
+import type {TaskStopper} from './task_stopper.js';
+import type {WorkerSessions} from './worker_sessions.js';
+
+/**
+ * Follows the platform's host list. A leaving worker gets no new work from
+ * the next list on, and its services move elsewhere.
+ */
+export class LeavingWatch {
+  private constructor(
+    private readonly context: OwnerContext,
+    private readonly hosts: HostList,
+    private readonly sessions: WorkerSessions,
+    private readonly stopper: TaskStopper,
+  ) {}
+
+  static create(
+    context: OwnerContext,
+    hosts: HostList,
+    sessions: WorkerSessions,
+    stopper: TaskStopper,
+  ): LeavingWatch {
+    return new LeavingWatch(context, hosts, sessions, stopper);
+  }
+
+  /** Runs until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock, settings} = this.context;
+    while (!signal.aborted) {
+      await this.read();
+      this.moveServices();
+      const deadline = clock.monotonicNow() + settings.hostListMilliseconds;
+      await clock.sleepUntil(deadline, signal);
+    }
+  }
+
+  private async read(): Promise<void> {
+    const {clock, settings, metrics} = this.context;
+    const deadline = clock.monotonicNow() + settings.commandMilliseconds;
+    const listed = await this.hosts.list(deadline);
+    listed.caseOf({
+      // The last list stays in force: a host that was leaving still is.
+      Left: () => metrics.increment('host-list.failures'),
+      Right: entries => {
+        const leaving = entries.filter(entry => entry.state === 'leaving');
+        this.sessions.setLeaving(new Set(leaving.map(entry => entry.name)));
+      },
+    });
+  }
+
+  private moveServices(): void {
+    for (const session of this.sessions.all()) {
+      if (!this.sessions.isLeaving(session.worker)) continue;
+      for (const task of this.context.book.ofWorker(session.worker.name)) {
+        if (task.facts.kind !== 'service') continue;
+        this.stopper.stop(task, 'its worker is leaving', true);
+      }
+    }
+  }
+}
--- a/packages/group-owner/src/owned_task.ts
+++ b/packages/group-owner/src/owned_task.ts
@@ -18,6 +18,11 @@
   leaseDeadline = 0;
   /** Wall-clock instant after which the sent start has no effect. */
   startNotAfter = 0;
+  /**
+   * Monotonic instant since which the task is known to run. Lists that were
+   * asked for earlier may not show it yet.
+   */
+  runningSince = 0;
   /** Starts that workers refused. */
   refusals = 0;
   /** Why the task is to be stopped, once that is wanted. */
--- a/packages/group-owner/src/task_ends.ts
+++ b/packages/group-owner/src/task_ends.ts
@@ -20,6 +20,7 @@
   /** Tells the coordinator that the task runs. */
   running(task: OwnedTask): void {
     task.stage = 'running';
+    task.runningSince = this.context.clock.monotonicNow();
     this.tell(task, this.update(task, 'running', {worker: task.worker}));
   }
 
--- a/packages/group-owner/src/worker_reader.ts
+++ b/packages/group-owner/src/worker_reader.ts
@@ -115,7 +115,7 @@
     sentAt: number,
   ): void {
     const isSameWorker = task.workerIncarnation === snapshot.incarnation;
-    if (task.stage === 'running') {
+    if (task.stage === 'running' && sentAt > task.runningSince) {
       this.ends.lost(
         task,
         isSameWorker
--- a/packages/group-owner/src/worker_sessions.ts
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -4,6 +4,7 @@
   WorkerSnapshot,
 } from '@cardamomfield/platform';
 import type {ConfigurationState, Rack, Worker} from '@cardamomfield/types';
+import {groupWorkersByRack} from './group_workers_by_rack.js';
 import type {OwnerContext} from './owner_context.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -31,6 +32,7 @@
   private readonly openings = new Map<string, Opening>();
   private leaving: ReadonlySet<string> = new Set();
   private configuration: ConfigurationState | undefined;
+  private workersByRack: ReadonlyMap<string, readonly Worker[]> = new Map();
   private readonly groups = new Map<string, number>();
 
   private constructor(private readonly options: WorkerSessionsOptions) {}
@@ -63,6 +65,7 @@
   /** Sets the inventory; sessions follow it. */
   setConfiguration(configuration: ConfigurationState): void {
     this.configuration = configuration;
+    this.workersByRack = groupWorkersByRack(configuration);
     this.synchronise();
   }
 
@@ -115,15 +118,13 @@
     return this.configuration?.racks[worker.rack];
   }
 
-  private workersOf(group: string): Worker[] {
-    const workers = Object.values(this.configuration?.workers ?? {});
-    return workers.filter(worker => worker.rack === group);
+  private workersOf(group: string): readonly Worker[] {
+    return this.workersByRack.get(group) ?? [];
   }
 
   private synchronise(): void {
-    const workers = this.configuration?.workers ?? {};
     for (const [name, session] of this.sessions) {
-      const worker = workers[name];
+      const worker = this.configuration?.workers[name];
       const isWanted =
         worker !== undefined &&
         worker.address === session.worker.address &&
@@ -131,9 +132,10 @@
         this.groups.has(worker.rack);
       if (!isWanted) this.endSession(name, session);
     }
-    for (const worker of Object.values(workers)) {
-      const isOwned = this.groups.has(worker.rack);
-      if (isOwned && !this.sessions.has(worker.name)) this.begin(worker);
+    for (const group of this.groups.keys()) {
+      for (const worker of this.workersOf(group)) {
+        if (!this.sessions.has(worker.name)) this.begin(worker);
+      }
     }
     this.refresh();
   }
