Settle tasks of a group that has changed hands

Cause: a former owner dropped running tasks without a word, and when their worker had restarted meanwhile the next owner did not know them either, so the coordinator waited for ever. The former owner now reports them as in doubt and the coordinator looks for them.

--- a/packages/group-owner/src/dispatcher.ts
+++ b/packages/group-owner/src/dispatcher.ts
@@ -142,8 +142,8 @@
       return;
     }
     this.context.health.record(task.worker, task.facts.service, false);
-    task.refusals += 1;
-    const isFinal = task.refusals >= this.context.settings.maximumRefusals;
+    const refusals = task.refusedBy.length + 1;
+    const isFinal = refusals >= this.context.settings.maximumRefusals;
     if (isFinal || task.stopReason !== undefined) {
       this.ends.notStarted(task, error.message);
     } else {
--- a/packages/group-owner/src/group_owner.ts
+++ b/packages/group-owner/src/group_owner.ts
@@ -136,9 +136,13 @@
     timeline.record('group.lost', {group});
     this.sessions.lose(group);
     for (const worker of this.workersByGroup.get(group) ?? []) {
-      for (const task of book.ofWorker(worker.name)) this.leave(task);
+      // The coordinator looks for the task: the next owner may have found it
+      // on its worker, or the worker may have lost it meanwhile.
+      for (const task of book.ofWorker(worker.name)) {
+        this.ends.abandoned(task, 'the group has another owner');
+      }
     }
-    this.context.work.notify();
+    this.giveBackUnservable();
   }
 
   /** Refuses new work and gives queued work back to its coordinators. */
@@ -232,6 +236,9 @@
     if (clock.wallNow() > order.notAfter) {
       return Left(RefusedError.create('the order arrived too late'));
     }
+    if (!this.sessions.serves(order.service)) {
+      return Left(RefusedError.create(`no workers here for ${order.service}`));
+    }
     for (const entry of order.tasks) {
       const queued = this.enqueue(order, entry);
       if (queued.isLeft()) {
@@ -260,6 +267,7 @@
   private createJob(
     order: PlaceOrder,
     entry: PlaceOrder['tasks'][number],
+    refusedBy: readonly string[] = [],
   ): Job {
     const rule = this.options.ruleFor(order);
     return {
@@ -273,7 +281,7 @@
       deadline: order.deadline,
       declaredRunMilliseconds: order.declaredRunMilliseconds,
       attempt: entry.attempt,
-      excludedWorkers: new Set(order.excludedWorkers),
+      excludedWorkers: new Set([...order.excludedWorkers, ...refusedBy]),
       ...(rule?.policy ? {policy: rule.policy} : {}),
       ...(rule?.queueLimit
         ? {queueBound: {rule: rule.name, limit: rule.queueLimit}}
@@ -313,20 +321,19 @@
     task.stage = 'queued';
     const entry = order?.tasks.find(each => each.index === task.identity.index);
     if (!order || !entry) return;
-    order.excludedWorkers.push(refusedBy);
-    const queued = scheduler.enqueue(this.createJob(order, entry));
+    task.refusedBy.push(refusedBy);
+    const job = this.createJob(order, entry, task.refusedBy);
+    const queued = scheduler.enqueue(job);
     queued.ifLeft(error => this.ends.notStarted(task, error.message));
     this.context.work.notify();
   }
 
-  private leave(task: OwnedTask): void {
-    const isTold = task.stage === 'running';
-    if (isTold) {
-      // The next owner finds the task on its worker and goes on reporting.
-      this.context.scheduler.release(task.identity);
-      this.context.book.remove(task);
-    } else {
-      this.ends.abandoned(task, 'the group has another owner');
+  /** Gives queued work back that no remaining worker can run. */
+  private giveBackUnservable(): void {
+    for (const task of [...this.context.book.all()]) {
+      if (task.stage !== 'queued') continue;
+      if (this.sessions.serves(task.facts.service)) continue;
+      this.giveBack(task, 'this owner has no more workers for the service');
     }
   }
 
--- a/packages/group-owner/src/owned_task.ts
+++ b/packages/group-owner/src/owned_task.ts
@@ -23,8 +23,8 @@
    * asked for earlier may not show it yet.
    */
   runningSince = 0;
-  /** Starts that workers refused. */
-  refusals = 0;
+  /** Workers that refused the start. */
+  readonly refusedBy: string[] = [];
   /** Why the task is to be stopped, once that is wanted. */
   stopReason: string | undefined;
   /** The order that brought the task; absent for recovered tasks. */
--- a/packages/group-owner/src/worker_sessions.ts
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -49,6 +49,14 @@
     return this.sessions.values();
   }
 
+  /** Whether any worker here runs tasks of the service. */
+  serves(service: string): boolean {
+    for (const {worker} of this.sessions.values()) {
+      if (worker.services.includes(service)) return true;
+    }
+    return false;
+  }
+
   /** Groups whose workers were all read under the present epoch. */
   readGroups(): ReadonlyMap<string, number> {
     const read = new Map<string, number>();
--- a/packages/requests/src/request_coordinator.ts
+++ b/packages/requests/src/request_coordinator.ts
@@ -170,8 +170,8 @@
 
   private registerHandlers(): void {
     const {network} = this.options;
-    network.handle(UPDATE_TASKS, async (_peer, {updates}) => {
-      updates.forEach(update => this.takeUpdate(update));
+    network.handle(UPDATE_TASKS, async (peer, {updates}) => {
+      updates.forEach(update => this.takeUpdate(peer, update));
       return Right({});
     });
     network.handle(PERMIT_DISPATCH, async (_peer, {task}) =>
@@ -397,13 +397,18 @@
     }
   }
 
-  private takeUpdate(update: TaskUpdate): void {
+  private takeUpdate(
+    owner: {name: string; incarnation: string},
+    update: TaskUpdate,
+  ): void {
     const record = this.records.get(update.task.key);
     const task = record?.tasks[update.task.index];
     if (!record || !task?.apply(update)) {
       this.options.metrics.increment('requests.updates.dropped');
       return;
     }
+    // A group may have changed hands since the task was placed.
+    if (update.stage === 'running') task.owner = owner;
     this.options.timeline.record(`task.${update.stage}`, {
       key: update.task.key,
       index: update.task.index,
--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -173,7 +173,7 @@
     for (;;) {
       const update = this.task.update;
       if (update && this.task.hasEnded()) return update;
-      if (this.isOwnerGone()) {
+      if (update?.stage === 'in-doubt' || this.isOwnerGone()) {
         await this.resolveWithoutOwner();
         continue;
       }
