--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,2 +1,2 @@
-/** Starts the whole system on loopback and shows it at work. A development tool. */
-export {};
+/** Shows the whole system at work on loopback. A development tool. */
+export * from './demo.js';
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,4 @@
+import {Demo} from './demo.js';
+
+const demo = await Demo.create();
+await demo.run();
--- /dev/null
+++ b/packages/entry-host/src/configuration_checker.ts
@@ -0,0 +1,57 @@
+import type {Configuration} from '@cardamomfield/configuration';
+import {
+  InvalidInputError,
+  type TypedError,
+  UnavailableError,
+} from '@cardamomfield/errors';
+import type {SubmissionChecker} from '@cardamomfield/requests';
+import type {
+  ConfigurationState,
+  FinalAnswer,
+  Submission,
+} from '@cardamomfield/types';
+import {type Either, Left, Right} from 'purify-ts';
+
+/** Checks requests against the configuration in force. */
+export class ConfigurationChecker implements SubmissionChecker {
+  private constructor(private readonly configuration: Configuration) {}
+
+  static create(configuration: Configuration): ConfigurationChecker {
+    return new ConfigurationChecker(configuration);
+  }
+
+  check(submission: Submission): Either<TypedError, FinalAnswer | undefined> {
+    const current = this.configuration.current();
+    if (!current) {
+      const message = 'this entry host has no configuration yet';
+      return Left(UnavailableError.create(message));
+    }
+    return checkNames(submission, current.state).map(() => undefined);
+  }
+}
+
+function checkNames(
+  submission: Submission,
+  state: ConfigurationState,
+): Either<TypedError, void> {
+  const service = state.services[submission.service];
+  if (!service) return unknownName('service', submission.service);
+  if (!state.teams[submission.team]) {
+    return unknownName('team', submission.team);
+  }
+  const isAllowed =
+    service.teams.length === 0 || service.teams.includes(submission.team);
+  if (isAllowed) return Right(undefined);
+  const {team} = submission;
+  return Left(
+    InvalidInputError.create(
+      `team: ${team} may not use service ${submission.service}`,
+    ),
+  );
+}
+
+function unknownName(kind: string, name: string): Either<TypedError, void> {
+  return Left(
+    InvalidInputError.create(`${kind}: the configuration has no ${name}`),
+  );
+}
--- /dev/null
+++ b/packages/entry-host/src/entry_host.ts
@@ -0,0 +1,105 @@
+import {CallerServer} from '@cardamomfield/caller-api';
+import type {PeerMesh} from '@cardamomfield/peers';
+import {KeyPartitions} from '@cardamomfield/requests';
+import type {DependencyContainer} from 'tsyringe';
+import {EntryParts} from './entry_parts.js';
+import {GracefulStop} from './graceful_stop.js';
+import {OperatorView} from './operator_view.js';
+import {TOKENS} from './tokens.js';
+
+/** The daemon of one entry host, for `cardamomfield entry` and embedders. */
+export class EntryHost {
+  private readonly controller = new AbortController();
+  private readonly operator: OperatorView;
+  private readonly server: CallerServer;
+
+  private constructor(
+    private readonly parts: EntryParts,
+    private readonly mesh: PeerMesh,
+  ) {
+    const {settings, base} = parts;
+    this.operator = OperatorView.create({
+      ...parts,
+      name: settings.processName,
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+      clock: base.clock,
+      timeline: base.timeline,
+      peers: () => base.network.livePeers(),
+    });
+    this.server = CallerServer.create({
+      ...base,
+      address: settings.callerAddress,
+      port: settings.callerPort,
+      region: settings.region,
+      requests: parts.requests,
+      operator: this.operator,
+    });
+  }
+
+  /** Builds all parts; `start` begins to listen and to run them. */
+  static async create(container: DependencyContainer): Promise<EntryHost> {
+    const parts = await EntryParts.create(container);
+    const mesh = container.resolve<PeerMesh>(TOKENS.peerMesh);
+    return new EntryHost(parts, mesh);
+  }
+
+  /** Starts everything and returns the ports that are listened on. */
+  async start(): Promise<{callerPort: number; peerPort: number}> {
+    const {settings, base} = this.parts;
+    const peerPort = await this.mesh.listen();
+    this.mesh.setPeers(settings.peers);
+    this.connectParts();
+    const {signal} = this.controller;
+    for (const part of this.runnables()) void part.run(signal);
+    const callerPort = await this.server.listen();
+    base.timeline.record('process.started', {incarnation: base.incarnation});
+    base.logger.info('entry host started', {callerPort, peerPort});
+    return {callerPort, peerPort};
+  }
+
+  /** Stops without cutting a request in flight, at the latest at the deadline. */
+  async stop(): Promise<void> {
+    const {base, settings} = this.parts;
+    const now = base.clock.monotonicNow();
+    const deadline = now + settings.drainDeadlineMilliseconds;
+    const {parts, operator, server} = this;
+    await GracefulStop.create(parts, operator, server).run(deadline);
+    this.controller.abort();
+    await this.mesh.close();
+    base.logger.info('entry host stopped');
+  }
+
+  private runnables(): Array<{run(signal: AbortSignal): Promise<void>}> {
+    const {streams, configuration, ownership, owner, requests} = this.parts;
+    return [...streams, configuration, ownership, owner, requests];
+  }
+
+  /** Passes configuration and ownership on to those who need them. */
+  private connectParts(): void {
+    const {configuration, ownership, owner, registrar} = this.parts;
+    const apply = () => this.applyConfiguration();
+    configuration.onChange(apply);
+    apply();
+    ownership.addListener({
+      gained: (group, epoch) => {
+        if (KeyPartitions.isPartition(group)) registrar.gain(group, epoch);
+        else owner.gain(group, epoch);
+      },
+      lost: group => {
+        if (KeyPartitions.isPartition(group)) registrar.lose(group);
+        else owner.lose(group);
+      },
+    });
+  }
+
+  private applyConfiguration(): void {
+    const {base, configuration, ownership, owner} = this.parts;
+    const current = configuration.current();
+    if (!current) return;
+    base.timeline.record('configuration.applied', {version: current.version});
+    owner.setConfiguration(current.state);
+    const racks = Object.keys(current.state.racks);
+    ownership.setGroups([...racks, ...KeyPartitions.names()]);
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/entry_parts.ts
@@ -0,0 +1,159 @@
+import {
+  Configuration,
+  ConfigurationFold,
+  resolveRule,
+} from '@cardamomfield/configuration';
+import {GroupOwner} from '@cardamomfield/group-owner';
+import {LogFollower, type StreamFold} from '@cardamomfield/log-follower';
+import {OwnershipFold, OwnershipManager} from '@cardamomfield/ownership';
+import {OwnerScheduler} from '@cardamomfield/placement';
+import type {PlatformLog} from '@cardamomfield/platform';
+import {
+  KeyRegistrar,
+  KeyRegistrarClient,
+  OwnerChooser,
+  RequestCoordinator,
+  TaskFinder,
+} from '@cardamomfield/requests';
+import {RequestJournal} from '@cardamomfield/request-journal';
+import type {EntrySettings} from '@cardamomfield/settings';
+import type {DependencyContainer} from 'tsyringe';
+import {BaseParts} from './base_parts.js';
+import {ConfigurationChecker} from './configuration_checker.js';
+import {listOrphans} from './list_orphans.js';
+import {TOKENS} from './tokens.js';
+
+/** Part of the authority period between two extensions. */
+const EXTENSIONS_PER_PERIOD = 4;
+
+/** A stream that runs until its signal aborts. */
+interface Runnable {
+  run(signal: AbortSignal): Promise<void>;
+}
+
+/** The working parts of one entry host, wired together. */
+export class EntryParts {
+  readonly base: BaseParts;
+  readonly settings: EntrySettings;
+  readonly streams: Runnable[] = [];
+  readonly configuration: Configuration;
+  readonly owner: GroupOwner;
+  readonly registrar: KeyRegistrar;
+  readonly requests: RequestCoordinator;
+
+  private constructor(
+    private readonly container: DependencyContainer,
+    readonly ownership: OwnershipManager,
+    base: BaseParts,
+    settings: EntrySettings,
+    ownershipStream: Runnable,
+  ) {
+    this.base = base;
+    this.settings = settings;
+    this.streams.push(ownershipStream);
+    this.configuration = this.createConfiguration();
+    this.owner = this.createOwner();
+    this.registrar = KeyRegistrar.create({
+      ...base,
+      ownership,
+      groups: () => this.racks(),
+    });
+    this.requests = this.createRequests();
+  }
+
+  static async create(container: DependencyContainer): Promise<EntryParts> {
+    const settings = container.resolve<EntrySettings>(TOKENS.settings);
+    const base = BaseParts.create(container);
+    const fold = OwnershipFold.create();
+    const stream = follow(container, 'ownership', fold);
+    const ownership = await OwnershipManager.create({
+      ...base,
+      process: settings.processName,
+      stream,
+      settings: {
+        authorityPeriodMilliseconds: settings.authorityPeriodMilliseconds,
+        claimMarginMilliseconds: settings.claimMarginMilliseconds,
+        extensionIntervalMilliseconds:
+          settings.authorityPeriodMilliseconds / EXTENSIONS_PER_PERIOD,
+        voterRemovalMilliseconds: settings.voterRemovalSilenceMilliseconds,
+      },
+    });
+    return new EntryParts(container, ownership, base, settings, stream);
+  }
+
+  /** Names of all racks of the configuration in force. */
+  racks(): string[] {
+    return Object.keys(this.configuration.current()?.state.racks ?? {});
+  }
+
+  private createConfiguration(): Configuration {
+    const fold = ConfigurationFold.create();
+    const stream = follow(this.container, 'configuration', fold);
+    this.streams.push(stream);
+    return Configuration.create({
+      ...this.base,
+      stream,
+      logCallMilliseconds: this.settings.logCallMilliseconds,
+    });
+  }
+
+  private createOwner(): GroupOwner {
+    const {base, settings, ownership} = this;
+    return GroupOwner.create({
+      ...base,
+      ownership,
+      scheduler: OwnerScheduler.create({
+        ...base,
+        settings: {classQueueLimit: settings.queueLimit},
+      }),
+      health: {record: () => {}, weight: () => 1},
+      connector: this.container.resolve(TOKENS.workerConnector),
+      hosts: this.container.resolve(TOKENS.hostList),
+      settings: {
+        leaseMilliseconds: settings.leasePeriodMilliseconds,
+        renewalMilliseconds: Math.floor(settings.leasePeriodMilliseconds / 3),
+        clockSkewMilliseconds: settings.clockSkewAllowanceMilliseconds,
+        hostListMilliseconds: settings.hostListPeriodMilliseconds,
+      },
+      ruleFor: order => {
+        const state = this.configuration.current()?.state;
+        return state && resolveRule(state, order);
+      },
+    });
+  }
+
+  private createRequests(): RequestCoordinator {
+    const {base, settings, ownership, owner} = this;
+    const groups = () => this.racks();
+    return RequestCoordinator.create({
+      ...base,
+      self: settings.processName,
+      journal: this.createJournal(),
+      registrar: KeyRegistrarClient.create({...base, ownership}),
+      chooser: OwnerChooser.create({
+        ...base,
+        localSummary: () => owner.summary(),
+      }),
+      finder: TaskFinder.create({...base, groups}),
+      checker: ConfigurationChecker.create(this.configuration),
+      spendRetry: () => true,
+      listOrphans: partition => listOrphans(owner, partition, base.clock),
+    });
+  }
+}
+
+function follow<State>(
+  container: DependencyContainer,
+  stream: string,
+  fold: StreamFold<State>,
+): LogFollower<State> {
+  const base = BaseParts.create(container);
+  const settings = container.resolve<EntrySettings>(TOKENS.settings);
+  return LogFollower.create({
+    ...base,
+    log: container.resolve<PlatformLog>(TOKENS.platformLog),
+    stream,
+    fold,
+    writer: `${settings.processName}.${base.incarnation}`,
+  });
+}
--- a/packages/entry-host/src/index.ts
+++ b/packages/entry-host/src/index.ts
@@ -1,2 +1,5 @@
 /** Composition, start and graceful shutdown of the entry daemon. */
-export {};
+export * from './create_container.js';
+export * from './entry_host.js';
+export * from './run_entry_host.js';
+export * from './tokens.js';
--- /dev/null
+++ b/packages/entry-host/src/list_orphans.ts
@@ -0,0 +1,30 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {GroupOwner} from '@cardamomfield/group-owner';
+import type {KeyRegistration} from '@cardamomfield/peer-protocol';
+import {KeyPartitions} from '@cardamomfield/requests';
+
+/** How long a registrar keeps the key of a task without a coordinator. */
+const ORPHAN_EXPIRY_MILLISECONDS = 24 * 60 * 60 * 1_000;
+
+/**
+ * Keys of tasks on this owner's workers whose coordinator is not there. The
+ * hash of their request is not known and left empty.
+ */
+export function listOrphans(
+  owner: GroupOwner,
+  partition: string,
+  clock: Clock,
+): {registrations: KeyRegistration[]; groups: string[]} {
+  const expiresAt = clock.wallNow() + ORPHAN_EXPIRY_MILLISECONDS;
+  const registrations = owner
+    .liveOrphans()
+    .filter(({key}) => KeyPartitions.of(key) === partition)
+    .map(({key, coordinator}) => ({
+      key,
+      coordinator,
+      bodyHash: '',
+      coordinatorIncarnation: '',
+      expiresAt,
+    }));
+  return {registrations, groups: [...owner.readGroups().keys()]};
+}
