Let long requests outlive their coordinator

A request of a kind that runs long has a copy on a peer, which goes on with it when the coordinator dies, and is handed over on shutdown. The registrar of the key decides who goes on; a coordinator that was taken for dead confirms its registration before any further attempt.

--- a/packages/entry-host/src/graceful_stop.ts
+++ b/packages/entry-host/src/graceful_stop.ts
@@ -37,6 +37,7 @@
       deadline: Math.min(deadline, handover),
       isFinal: false,
     });
+    await requests.handOver();
     await this.waitUntil(() => owner.countUndelivered() === 0, deadline);
     await this.waitUntil(() => requests.countUnfinished() === 0, deadline);
     await Promise.race([this.server.close(), base.clock.sleepUntil(deadline)]);
--- a/packages/group-owner/src/group_owner.ts
+++ b/packages/group-owner/src/group_owner.ts
@@ -3,6 +3,7 @@
 import {
   CANCEL_REQUESTS,
   FIND_TASKS,
+  FOLLOW_TASK,
   type KnownTask,
   OWNER_SUMMARY_SECTION,
   type OwnerSummary,
@@ -11,7 +12,12 @@
 } from '@cardamomfield/peer-protocol';
 import type {Job, ScheduleDecision} from '@cardamomfield/placement';
 import type {HostList, WorkerConnector} from '@cardamomfield/platform';
-import type {ConfigurationState, Rule, Worker} from '@cardamomfield/types';
+import type {
+  ConfigurationState,
+  Rule,
+  TaskIdentity,
+  Worker,
+} from '@cardamomfield/types';
 import {type Either, Left, Right} from 'purify-ts';
 import {DeputyRenewals} from './deputy_renewals.js';
 import {Dispatcher} from './dispatcher.js';
@@ -220,6 +226,9 @@
       keys.forEach(key => this.cancel(key));
       return Right({});
     });
+    network.handle(FOLLOW_TASK, async (peer, {task}) =>
+      Right({isKnown: this.follow(task, peer.name)}),
+    );
     network.handle(FIND_TASKS, async (_peer, {key}) =>
       Right({
         tasks: this.context.book.ofKey(key).map(describe),
@@ -289,6 +298,14 @@
     };
   }
 
+  private follow(identity: TaskIdentity, coordinator: string): boolean {
+    const task = this.context.book.find(identity);
+    if (!task) return false;
+    task.coordinator = coordinator;
+    if (task.update) this.context.updates.send(coordinator, task.update);
+    return true;
+  }
+
   private withdrawOrder(order: PlaceOrder): void {
     const {book, scheduler} = this.context;
     scheduler.withdraw(order.key);
--- a/packages/group-owner/src/owned_task.ts
+++ b/packages/group-owner/src/owned_task.ts
@@ -8,6 +8,8 @@
 
 /** One attempt of one task, as the owner of its worker's group knows it. */
 export class OwnedTask {
+  /** Entry host that is told of the task. */
+  coordinator: string;
   stage: Stage = 'queued';
   worker = '';
   group = '';
@@ -35,12 +37,14 @@
 
   private constructor(
     readonly identity: TaskIdentity,
-    readonly coordinator: string,
+    coordinator: string,
     readonly facts: Pick<
       TaskStart,
       'team' | 'service' | 'kind' | 'idempotent' | 'demand'
     >,
-  ) {}
+  ) {
+    this.coordinator = coordinator;
+  }
 
   /** A task from a coordinator's order; it waits in the queue. */
   static fromOrder(identity: TaskIdentity, order: PlaceOrder): OwnedTask {
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,11 +1,14 @@
 /** Schemas of the messages between entry hosts. */
+export * from './adopt_request.js';
 export * from './authority_ask.js';
+export * from './backup_request.js';
 export * from './cancel_request.js';
 export * from './claim_announce.js';
 export * from './configuration_fetch.js';
 export * from './configuration_section.js';
 export * from './define_peer_method.js';
 export * from './find_tasks.js';
+export * from './follow_task.js';
 export * from './heartbeat_section.js';
 export * from './hold_capacity.js';
 export * from './key_registration.js';
@@ -22,6 +25,7 @@
 export * from './place_tasks.js';
 export * from './register_key.js';
 export * from './release_hold.js';
+export * from './request_state.js';
 export * from './request_view.js';
 export * from './self_calling_network.js';
 export * from './show_request.js';
--- a/packages/requests/src/assemble_answer.ts
+++ b/packages/requests/src/assemble_answer.ts
@@ -1,5 +1,4 @@
-import type {FinalAnswer} from '@cardamomfield/types';
-import type {TaskConclusion} from './task_conclusion.js';
+import type {FinalAnswer, TaskConclusion} from '@cardamomfield/types';
 
 /** One truthful answer from the conclusions of all tasks, in task order. */
 export function assembleAnswer(
--- a/packages/requests/src/orphan_lookup.ts
+++ b/packages/requests/src/orphan_lookup.ts
@@ -4,11 +4,10 @@
   UnavailableError,
 } from '@cardamomfield/errors';
 import type {KnownTask, RequestView} from '@cardamomfield/peer-protocol';
-import type {FinalAnswer} from '@cardamomfield/types';
+import type {FinalAnswer, TaskConclusion} from '@cardamomfield/types';
 import {type Either, Left, Right} from 'purify-ts';
 import {assembleAnswer} from './assemble_answer.js';
 import type {IntentJournal} from './intent_journal.js';
-import type {TaskConclusion} from './task_conclusion.js';
 import type {TaskFinder} from './task_finder.js';
 
 interface OrphanLookupOptions {
--- a/packages/requests/src/remote_requests.ts
+++ b/packages/requests/src/remote_requests.ts
@@ -18,8 +18,8 @@
 }
 
 interface WaitOptions {
-  afterRevision?: number;
-  waitUntil?: number;
+  afterRevision?: number | undefined;
+  waitUntil?: number | undefined;
 }
 
 interface RemoteView {
--- a/packages/requests/src/request_coordinator.ts
+++ b/packages/requests/src/request_coordinator.ts
@@ -12,38 +12,38 @@
   LIST_KEYS,
   PERMIT_DISPATCH,
   type PeerNetwork,
+  type RequestState,
   type RequestView,
   SHOW_REQUEST,
   STOP_REQUEST,
-  UPDATE_TASKS,
   type TaskUpdate,
+  UPDATE_TASKS,
 } from '@cardamomfield/peer-protocol';
 import type {Timeline} from '@cardamomfield/timeline';
 import type {FinalAnswer, Submission} from '@cardamomfield/types';
 import {type Either, Left, Right} from 'purify-ts';
 import {hashBody} from './hash_body.js';
 import type {IntentJournal} from './intent_journal.js';
-import {KeyPartitions} from './key_partitions.js';
+import {KeyClaims} from './key_claims.js';
 import type {KeyRegistrarClient} from './key_registrar_client.js';
 import {OrphanLookup} from './orphan_lookup.js';
 import type {OwnerChooser} from './owner_chooser.js';
 import {RemoteRequests} from './remote_requests.js';
+import {RequestBackups} from './request_backups.js';
 import {RequestRecord} from './request_record.js';
 import {RequestRun} from './request_run.js';
+import {RequestStore} from './request_store.js';
 import type {SubmissionChecker} from './submission_checker.js';
 import type {TaskFinder} from './task_finder.js';
 import type {TaskRecord} from './task_record.js';
 import {TaskRun} from './task_run.js';
 
-/** Finished requests are kept this long for callers who ask again. */
-const RETENTION_MILLISECONDS = 24 * 60 * 60 * 1_000;
-
-/** Finished requests kept at most; the oldest go first. */
-const MAXIMUM_FINISHED = 50_000;
-
 /** Period of the check for owners that went away. */
 const WATCH_PERIOD_MILLISECONDS = 250;
 
+/** Time to register the key of a request that is taken over. */
+const ADOPT_MILLISECONDS = 10_000;
+
 interface RequestCoordinatorOptions {
   self: string;
   incarnation: string;
@@ -66,27 +66,34 @@
 }
 
 interface WaitOptions {
-  afterRevision?: number;
+  afterRevision?: number | undefined;
   /** Wall-clock instant until which the call may wait for news. */
-  waitUntil?: number;
+  waitUntil?: number | undefined;
 }
 
 /** Takes requests in and knows the truth about each that it runs. */
 export class RequestCoordinator {
-  private readonly records = new Map<string, RequestRecord>();
-  private readonly registeredEpochs = new Map<string, number>();
-  private readonly chosenKeys = new Set<string>();
-  private readonly finished: string[] = [];
+  private readonly store: RequestStore;
+  private readonly claims: KeyClaims;
   private readonly remote: RemoteRequests;
   private readonly orphans: OrphanLookup;
+  private readonly backups: RequestBackups;
   private generatedKeys = 0;
-  private unfinished = 0;
   private isClosed = false;
 
   private constructor(private readonly options: RequestCoordinatorOptions) {
-    const {network, clock, journal, finder} = options;
-    this.remote = RemoteRequests.create({network, clock});
-    this.orphans = OrphanLookup.create({journal, finder});
+    this.claims = KeyClaims.create(options);
+    this.store = RequestStore.create({
+      ...options,
+      onDrop: key => this.claims.forget(key),
+    });
+    this.remote = RemoteRequests.create(options);
+    this.orphans = OrphanLookup.create(options);
+    this.backups = RequestBackups.create({
+      ...options,
+      incarnationOf: peer => options.chooser.incarnationOf(peer),
+      adopt: (state, replaces) => this.adopt(state, replaces),
+    });
   }
 
   static create(options: RequestCoordinatorOptions): RequestCoordinator {
@@ -95,17 +102,9 @@
     return coordinator;
   }
 
-  /** Watches for owners that go away, until the signal aborts. */
+  /** Watches for owners and coordinators that go away. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock} = this.options;
-    let seen = '';
-    while (!signal.aborted) {
-      const now = this.describeOwners();
-      if (now !== seen) this.wakeAll();
-      seen = now;
-      const deadline = clock.monotonicNow() + WATCH_PERIOD_MILLISECONDS;
-      await clock.sleepUntil(deadline, signal);
-    }
+    await Promise.all([this.watchOwners(signal), this.backups.run(signal)]);
   }
 
   /** A key that no other request has. */
@@ -117,7 +116,7 @@
 
   /** Requests that have no answer yet. */
   countUnfinished(): number {
-    return this.unfinished;
+    return this.store.countUnfinished();
   }
 
   /** Refuses new requests from now on; those under way go on. */
@@ -125,6 +124,12 @@
     this.isClosed = true;
   }
 
+  /** Hands long requests to peers; the others are left to finish here. */
+  async handOver(): Promise<void> {
+    const wanted = this.store.unfinished().filter(RequestBackups.isWanted);
+    await Promise.all(wanted.map(record => this.handOverOne(record)));
+  }
+
   /**
    * Accepts a request and returns its first state. A key that is known gets
    * the state of the earlier request, wherever it runs.
@@ -137,14 +142,21 @@
       return Left(UnavailableError.create('this entry host is shutting down'));
     }
     const bodyHash = hashBody(submission);
-    const known = this.records.get(submission.key);
+    const known = this.store.find(submission.key);
     if (known) return this.repeat(known, bodyHash);
     const checked = this.options.checker.check(submission);
     if (checked.isLeft()) return Left(checked.extract() as TypedError);
     const refusal = checked.extract() as FinalAnswer | undefined;
-    const record = this.createRecord(submission, bodyHash);
-    if (!isKeyChosen) return Right(this.start(record, refusal));
-    return this.submitChosen(record, refusal);
+    const {self, clock} = this.options;
+    const record = RequestRecord.create({
+      submission,
+      bodyHash,
+      coordinator: self,
+      clock,
+    });
+    const isRegistered = isKeyChosen || RequestBackups.isWanted(record);
+    if (!isRegistered) return Right(this.start(record, refusal));
+    return this.registerAndStart(record, refusal);
   }
 
   /** The state of a request, wherever it runs. */
@@ -152,8 +164,11 @@
     key: string,
     wait: WaitOptions = {},
   ): Promise<Either<TypedError, RequestView>> {
-    const known = this.records.get(key);
-    if (known) return Right(await this.showLocal(known, wait));
+    const known = this.store.find(key);
+    if (known) {
+      const view = await this.showLocal(known, wait);
+      if (!known.isHandedOver) return Right(view);
+    }
     const remote = await this.remote.show(key, wait);
     if (remote) return Right(remote.view);
     return this.orphans.show(key);
@@ -161,15 +176,15 @@
 
   /** Stops a request, wherever it runs. Idempotent. */
   async cancel(key: string): Promise<Either<TypedError, RequestView>> {
-    const known = this.records.get(key);
-    if (known) return Right(this.cancelLocal(known));
+    const known = this.store.find(key);
+    if (known && !known.isHandedOver) return Right(this.cancelLocal(known));
     const remote = await this.remote.cancel(key);
     if (remote) return Right(remote);
     return Left(NotFoundError.create(`no entry host runs request ${key}`));
   }
 
   private registerHandlers(): void {
-    const {network} = this.options;
+    const {network, listOrphans} = this.options;
     network.handle(UPDATE_TASKS, async (peer, {updates}) => {
       updates.forEach(update => this.takeUpdate(peer, update));
       return Right({});
@@ -178,31 +193,28 @@
       Right({permitted: this.permitDispatch(task)}),
     );
     network.handle(SHOW_REQUEST, async (_peer, {key, ...wait}) => {
-      const record = this.records.get(key);
+      const record = this.findOwn(key);
       if (!record) return Right({view: null, bodyHash: ''});
       const view = await this.showLocal(record, wait);
       return Right({view, bodyHash: record.bodyHash});
     });
     network.handle(STOP_REQUEST, async (_peer, {key}) => {
-      const record = this.records.get(key);
+      const record = this.findOwn(key);
       return Right({view: record ? this.cancelLocal(record) : null});
     });
-    network.handle(LIST_KEYS, async (_peer, {partition}) =>
-      Right(this.listKeys(partition)),
-    );
+    network.handle(LIST_KEYS, async (_peer, {partition}) => {
+      const orphans = listOrphans(partition);
+      const registrations = this.claims.list(partition);
+      return Right({
+        registrations: [...registrations, ...orphans.registrations],
+        groups: orphans.groups,
+      });
+    });
   }
 
-  private createRecord(
-    submission: Submission,
-    bodyHash: string,
-  ): RequestRecord {
-    const {self, clock} = this.options;
-    return RequestRecord.create({
-      submission,
-      bodyHash,
-      coordinator: self,
-      clock,
-    });
+  private findOwn(key: string): RequestRecord | undefined {
+    const record = this.store.find(key);
+    return record?.isHandedOver ? undefined : record;
   }
 
   private repeat(
@@ -214,23 +226,25 @@
   }
 
   /** Asks the registrar first: the key may run on another entry host. */
-  private async submitChosen(
+  private async registerAndStart(
     record: RequestRecord,
     refusal: FinalAnswer | undefined,
   ): Promise<Either<TypedError, RequestView>> {
-    this.records.set(record.key, record);
-    const registered = await this.register(record);
+    const {clock} = this.options;
+    const remaining = record.submission.deadline - clock.wallNow();
+    const deadline = clock.monotonicNow() + remaining;
+    this.store.add(record);
+    const registered = await this.claims.register(record, deadline);
     if (registered.isLeft()) {
-      this.records.delete(record.key);
+      this.store.remove(record);
       return Left(registered.extract() as TypedError);
     }
     const winner = registered.extract() as KeyRegistration;
-    if (this.isOwn(winner)) {
-      this.chosenKeys.add(record.key);
-      return Right(this.start(record, refusal));
-    }
-    this.records.delete(record.key);
-    if (winner.bodyHash !== record.bodyHash) return Left(conflict(record.key));
+    if (this.claims.isOwn(winner)) return Right(this.start(record, refusal));
+    this.store.remove(record);
+    const isSame =
+      winner.bodyHash === record.bodyHash || winner.bodyHash === '';
+    if (!isSame) return Left(conflict(record.key));
     return this.followWinner(record, winner, refusal);
   }
 
@@ -258,18 +272,31 @@
       const message = `the coordinator of ${record.key} does not answer`;
       return Left(UnavailableError.create(message));
     }
-    this.records.set(record.key, record);
-    const registered = await this.register(record, dead.coordinatorIncarnation);
-    const winner = registered.toMaybe().extract();
-    if (winner && this.isOwn(winner)) {
-      this.chosenKeys.add(record.key);
-      return Right(this.start(record, refusal));
-    }
-    this.records.delete(record.key);
+    const isWon = await this.claimFrom(record, dead.coordinatorIncarnation);
+    if (isWon) return Right(this.start(record, refusal));
     const message = `another entry host takes over ${record.key}`;
     return Left(UnavailableError.create(message));
   }
 
+  /** Registers a request in place of a dead incarnation's registration. */
+  private async claimFrom(
+    record: RequestRecord,
+    incarnation: string,
+  ): Promise<boolean> {
+    const {clock} = this.options;
+    const deadline = clock.monotonicNow() + ADOPT_MILLISECONDS;
+    this.store.add(record);
+    const registered = await this.claims.register(
+      record,
+      deadline,
+      incarnation,
+    );
+    const winner = registered.toMaybe().extract();
+    if (winner && this.claims.isOwn(winner)) return true;
+    this.store.remove(record);
+    return false;
+  }
+
   private isLive(registration: KeyRegistration): boolean {
     const {network, chooser} = this.options;
     const {coordinator, coordinatorIncarnation} = registration;
@@ -277,70 +304,39 @@
     return chooser.incarnationOf(coordinator) === coordinatorIncarnation;
   }
 
-  private async register(
-    record: RequestRecord,
-    replaces?: string,
-  ): Promise<Either<TypedError, KeyRegistration>> {
-    const {registrar, clock} = this.options;
-    const registration = {
-      ...this.registrationOf(record),
-      ...(replaces === undefined ? {} : {replaces}),
-    };
-    const remaining = record.submission.deadline - clock.wallNow();
-    const deadline = clock.monotonicNow() + remaining;
-    const answer = await registrar.register(registration, deadline);
-    return answer.map(({winner, epoch}) => {
-      if (this.isOwn(winner)) this.registeredEpochs.set(record.key, epoch);
-      return winner;
-    });
-  }
-
-  private registrationOf(record: RequestRecord): KeyRegistration {
-    const {self, incarnation, clock} = this.options;
-    return {
-      key: record.key,
-      bodyHash: record.bodyHash,
-      coordinator: self,
-      coordinatorIncarnation: incarnation,
-      expiresAt:
-        Math.max(clock.wallNow(), record.submission.deadline) +
-        RETENTION_MILLISECONDS,
-    };
+  /** Goes on with a request of another coordinator. */
+  private async adopt(state: RequestState, replaces: string): Promise<boolean> {
+    const {key} = state.submission;
+    if (this.findOwn(key)) return true;
+    const {self, clock} = this.options;
+    const place = {coordinator: self, clock};
+    const record = RequestRecord.fromState(state, place);
+    const isWon = await this.claimFrom(record, replaces);
+    if (!isWon) return (await this.remote.show(key, {})) !== undefined;
+    this.options.timeline.record('request.adopted', {key});
+    this.start(record, undefined);
+    return true;
   }
 
-  private isOwn(registration: KeyRegistration): boolean {
-    const {self, incarnation} = this.options;
-    return (
-      registration.coordinator === self &&
-      registration.coordinatorIncarnation === incarnation
-    );
-  }
-
-  /**
-   * Registers again when the partition has a new owner, since the new
-   * registrar may have given the key to somebody else meanwhile.
-   */
-  private async confirmRegistration(record: RequestRecord): Promise<boolean> {
-    const registered = this.registeredEpochs.get(record.key);
-    if (registered === undefined) return true;
-    if (this.options.registrar.epochOf(record.key) === registered) return true;
-    const answer = await this.register(record);
-    return answer.caseOf({
-      Left: () => false,
-      Right: winner => this.isOwn(winner),
-    });
+  private async handOverOne(record: RequestRecord): Promise<void> {
+    const {incarnation, timeline} = this.options;
+    const isTaken = await this.backups.handOver(record, incarnation);
+    if (!isTaken) return;
+    timeline.record('request.handed-over', {key: record.key});
+    this.store.remove(record);
   }
 
   private start(
     record: RequestRecord,
     refusal: FinalAnswer | undefined,
   ): RequestView {
-    this.records.set(record.key, record);
+    const {team, service, kind} = record.submission;
+    this.store.add(record);
     this.options.timeline.record('request.accepted', {
       key: record.key,
-      team: record.submission.team,
-      service: record.submission.service,
-      kind: record.submission.kind,
+      team,
+      service,
+      kind,
     });
     if (refusal) {
       record.answer = refusal;
@@ -352,56 +348,37 @@
   }
 
   private async runToEnd(record: RequestRecord): Promise<void> {
-    const {self, incarnation, journal} = this.options;
-    this.unfinished += 1;
     const run = RequestRun.create(record, {
-      self,
-      incarnation,
-      journal,
+      ...this.options,
       runTask: (request, task) => this.createTaskRun(request, task).run(),
     });
+    if (RequestBackups.isWanted(record)) void this.backups.keep(record);
     await run.run();
-    this.unfinished -= 1;
-    this.finish(record);
+    if (record.isHandedOver) this.store.remove(record);
+    else this.finish(record);
   }
 
   private createTaskRun(record: RequestRecord, task: TaskRecord): TaskRun {
     return TaskRun.create(record, task, {
       ...this.options,
-      confirmRegistration: () => this.confirmRegistration(record),
+      confirmRegistration: () =>
+        this.claims.confirm(record, task.attempt === 0),
     });
   }
 
   private finish(record: RequestRecord): void {
-    const {clock, metrics, timeline} = this.options;
+    const {metrics, timeline} = this.options;
     const outcome = record.answer?.outcome ?? 'unknown';
-    record.expiresAt = clock.wallNow() + RETENTION_MILLISECONDS;
     metrics.increment('requests.finished', 1, {outcome});
     timeline.record('request.finished', {key: record.key, outcome});
-    this.finished.push(record.key);
-    this.dropOldest();
-  }
-
-  private dropOldest(): void {
-    const now = this.options.clock.wallNow();
-    for (;;) {
-      const oldest = this.finished[0];
-      if (oldest === undefined) return;
-      const expiresAt = this.records.get(oldest)?.expiresAt ?? 0;
-      const isFull = this.finished.length > MAXIMUM_FINISHED;
-      if (!isFull && expiresAt > now) return;
-      this.finished.shift();
-      this.records.delete(oldest);
-      this.registeredEpochs.delete(oldest);
-      this.chosenKeys.delete(oldest);
-    }
+    this.store.finish(record);
   }
 
   private takeUpdate(
     owner: {name: string; incarnation: string},
     update: TaskUpdate,
   ): void {
-    const record = this.records.get(update.task.key);
+    const record = this.findOwn(update.task.key);
     const task = record?.tasks[update.task.index];
     if (!record || !task?.apply(update)) {
       this.options.metrics.increment('requests.updates.dropped');
@@ -420,7 +397,7 @@
   }
 
   private permitDispatch(identity: TaskUpdate['task']): boolean {
-    const record = this.records.get(identity.key);
+    const record = this.findOwn(identity.key);
     const task = record?.tasks[identity.index];
     if (!record || !task || task.attempt !== identity.attempt) return false;
     const isRefused =
@@ -440,7 +417,7 @@
     for (;;) {
       const view = record.view();
       const isNews = view.revision > (wait.afterRevision ?? -1);
-      if (isNews || view.answer) return view;
+      if (isNews || view.answer || record.isHandedOver) return view;
       if (clock.monotonicNow() >= deadline) return view;
       await record.waitForChange(deadline);
     }
@@ -455,19 +432,19 @@
     return record.view();
   }
 
-  private listKeys(partition: string): {
-    registrations: KeyRegistration[];
-    groups: string[];
-  } {
-    const orphans = this.options.listOrphans(partition);
-    const own = [...this.chosenKeys]
-      .filter(key => KeyPartitions.of(key) === partition)
-      .flatMap(key => this.records.get(key) ?? [])
-      .map(record => this.registrationOf(record));
-    return {
-      registrations: [...own, ...orphans.registrations],
-      groups: orphans.groups,
-    };
+  /** Wakes the requests whenever an owner has come, gone or restarted. */
+  private async watchOwners(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    let seen = '';
+    while (!signal.aborted) {
+      const now = this.describeOwners();
+      if (now !== seen) {
+        this.store.unfinished().forEach(record => record.changed());
+      }
+      seen = now;
+      const deadline = clock.monotonicNow() + WATCH_PERIOD_MILLISECONDS;
+      await clock.sleepUntil(deadline, signal);
+    }
   }
 
   private describeOwners(): string {
@@ -478,12 +455,6 @@
       .sort()
       .join();
   }
-
-  private wakeAll(): void {
-    for (const record of this.records.values()) {
-      if (!record.answer) record.changed();
-    }
-  }
 }
 
 function conflict(key: string): ConflictError {
--- a/packages/requests/src/request_record.ts
+++ b/packages/requests/src/request_record.ts
@@ -1,5 +1,5 @@
 import {type Clock, Notifier} from '@cardamomfield/clock';
-import type {RequestView} from '@cardamomfield/peer-protocol';
+import type {RequestState, RequestView} from '@cardamomfield/peer-protocol';
 import type {FinalAnswer, Submission} from '@cardamomfield/types';
 import {TaskRecord} from './task_record.js';
 
@@ -12,12 +12,16 @@
 
 /** One request and all that its coordinator knows of it. */
 export class RequestRecord {
-  readonly tasks: TaskRecord[] = [];
+  readonly tasks: TaskRecord[];
   readonly submission: Submission;
   readonly bodyHash: string;
   /** Set once the caller or an operator has asked to stop the request. */
   isCancelled = false;
   answer: FinalAnswer | undefined;
+  /** Set once another coordinator goes on with the request. */
+  isHandedOver = false;
+  /** Set when the request was taken over from another coordinator. */
+  isAdopted = false;
   /** Wall-clock instant after which the record may be dropped. */
   expiresAt: number | undefined;
 
@@ -25,18 +29,35 @@
   private readonly coordinator: string;
   private readonly notifier: Notifier;
 
-  private constructor(options: RequestRecordOptions) {
+  private constructor(options: RequestRecordOptions, tasks: TaskRecord[]) {
     this.submission = options.submission;
     this.bodyHash = options.bodyHash;
     this.coordinator = options.coordinator;
     this.notifier = Notifier.create(options.clock);
-    for (let index = 0; index < this.submission.taskCount; index += 1) {
-      this.tasks.push(TaskRecord.create(index));
-    }
+    this.tasks = tasks;
   }
 
   static create(options: RequestRecordOptions): RequestRecord {
-    return new RequestRecord(options);
+    const tasks = Array.from(
+      {length: options.submission.taskCount},
+      (_, index) => TaskRecord.create(index),
+    );
+    return new RequestRecord(options, tasks);
+  }
+
+  /** A request as another coordinator left it. */
+  static fromState(
+    state: RequestState,
+    place: {coordinator: string; clock: Clock},
+  ): RequestRecord {
+    const {submission, bodyHash, isCancelled, tasks} = state;
+    const record = new RequestRecord(
+      {submission, bodyHash, ...place},
+      tasks.map(task => TaskRecord.fromState(task)),
+    );
+    record.isCancelled = isCancelled;
+    record.isAdopted = true;
+    return record;
   }
 
   get key(): string {
@@ -54,6 +75,17 @@
     return this.notifier.wait(deadline);
   }
 
+  /** All of it, for another coordinator. */
+  toState(): RequestState {
+    const {submission, bodyHash, isCancelled, tasks} = this;
+    return {
+      submission,
+      bodyHash,
+      isCancelled,
+      tasks: tasks.map(task => task.toState()),
+    };
+  }
+
   /** The state as callers see it. */
   view(): RequestView {
     return {
--- a/packages/requests/src/request_run.ts
+++ b/packages/requests/src/request_run.ts
@@ -1,10 +1,9 @@
 import type {TypedError} from '@cardamomfield/errors';
 import {UncertainError} from '@cardamomfield/errors';
-import type {FinalAnswer} from '@cardamomfield/types';
+import type {FinalAnswer, TaskConclusion} from '@cardamomfield/types';
 import {assembleAnswer} from './assemble_answer.js';
 import type {IntentJournal} from './intent_journal.js';
 import type {RequestRecord} from './request_record.js';
-import type {TaskConclusion} from './task_conclusion.js';
 import type {TaskRecord} from './task_record.js';
 
 interface RequestRunOptions {
@@ -12,7 +11,10 @@
   incarnation: string;
   journal: IntentJournal;
   /** Runs one task until it has a conclusion. */
-  runTask: (record: RequestRecord, task: TaskRecord) => Promise<TaskConclusion>;
+  runTask: (
+    record: RequestRecord,
+    task: TaskRecord,
+  ) => Promise<TaskConclusion | undefined>;
 }
 
 /** The life of one request from its acceptance to its final answer. */
@@ -26,10 +28,11 @@
     return new RequestRun(record, options);
   }
 
-  /** Runs until the record has its answer. */
+  /** Runs until the record has its answer or is handed over. */
   async run(): Promise<void> {
     const refusal = await this.recordIntent();
     const answer = refusal ?? (await this.runTasks());
+    if (!answer) return;
     this.record.answer = answer;
     this.record.changed();
     if (!refusal) await this.recordOutcome(answer);
@@ -38,7 +41,7 @@
   /** Notes a non-idempotent request on the log before anything can start. */
   private async recordIntent(): Promise<FinalAnswer | undefined> {
     const {submission, bodyHash, key} = this.record;
-    if (submission.idempotent) return undefined;
+    if (submission.idempotent || this.record.isAdopted) return undefined;
     const {journal, self, incarnation} = this.options;
     const {deadline} = submission;
     const intent = {key, bodyHash, coordinator: self, incarnation, deadline};
@@ -80,15 +83,18 @@
     };
   }
 
-  private async runTasks(): Promise<FinalAnswer> {
+  private async runTasks(): Promise<FinalAnswer | undefined> {
     const conclusions = await Promise.all(
       this.record.tasks.map(task => this.runTask(task)),
     );
-    return assembleAnswer(this.record.key, conclusions);
+    if (this.record.isHandedOver) return undefined;
+    const all = conclusions.filter(each => each !== undefined);
+    return assembleAnswer(this.record.key, all);
   }
 
-  private async runTask(task: TaskRecord): Promise<TaskConclusion> {
+  private async runTask(task: TaskRecord): Promise<TaskConclusion | undefined> {
     const conclusion = await this.options.runTask(this.record, task);
+    if (!conclusion) return undefined;
     task.conclusion = conclusion;
     this.record.changed();
     return conclusion;
--- /dev/null
+++ b/packages/requests/src/request_store.ts
@@ -0,0 +1,69 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {RequestRecord} from './request_record.js';
+
+/** Finished requests are kept this long for callers who ask again. */
+const RETENTION_MILLISECONDS = 24 * 60 * 60 * 1_000;
+
+/** Finished requests kept at most; the oldest go first. */
+const MAXIMUM_FINISHED = 50_000;
+
+interface RequestStoreOptions {
+  clock: Clock;
+  /** Called with each request that is dropped. */
+  onDrop: (key: string) => void;
+}
+
+/** The requests that this process coordinates or has lately finished. */
+export class RequestStore {
+  private readonly records = new Map<string, RequestRecord>();
+  /** Finished requests in the order of their ends. */
+  private readonly finished = new Set<RequestRecord>();
+
+  private constructor(private readonly options: RequestStoreOptions) {}
+
+  static create(options: RequestStoreOptions): RequestStore {
+    return new RequestStore(options);
+  }
+
+  find(key: string): RequestRecord | undefined {
+    return this.records.get(key);
+  }
+
+  add(record: RequestRecord): void {
+    this.records.set(record.key, record);
+  }
+
+  /** Takes a request out that this process does not coordinate. */
+  remove(record: RequestRecord): void {
+    if (this.records.get(record.key) !== record) return;
+    this.records.delete(record.key);
+    this.options.onDrop(record.key);
+  }
+
+  /** Keeps a finished request for a while. */
+  finish(record: RequestRecord): void {
+    record.expiresAt = this.options.clock.wallNow() + RETENTION_MILLISECONDS;
+    this.finished.add(record);
+    this.dropOldest();
+  }
+
+  /** Requests without an answer. */
+  unfinished(): RequestRecord[] {
+    return [...this.records.values()].filter(record => !record.answer);
+  }
+
+  /** Number of requests without an answer. */
+  countUnfinished(): number {
+    return this.records.size - this.finished.size;
+  }
+
+  private dropOldest(): void {
+    const now = this.options.clock.wallNow();
+    for (const record of this.finished) {
+      const isFull = this.finished.size > MAXIMUM_FINISHED;
+      if (!isFull && (record.expiresAt ?? 0) > now) return;
+      this.finished.delete(record);
+      this.remove(record);
+    }
+  }
+}
--- a/packages/requests/src/task_record.ts
+++ b/packages/requests/src/task_record.ts
@@ -1,5 +1,7 @@
-import type {TaskUpdate} from '@cardamomfield/peer-protocol';
-import type {TaskConclusion} from './task_conclusion.js';
+import type {RequestState, TaskUpdate} from '@cardamomfield/peer-protocol';
+import type {TaskConclusion} from '@cardamomfield/types';
+
+type TaskState = RequestState['tasks'][number];
 
 /** The owner that a task was sent to. */
 interface OwnerReference {
@@ -20,7 +22,15 @@
   /** Whether permits of the present attempt are refused from now on. */
   isDispatchRevoked = false;
   conclusion: TaskConclusion | undefined;
-  checkpoint: unknown;
+  /** State of an earlier attempt to continue from. */
+  checkpoint: TaskState['checkpoint'];
+  /**
+   * What to conclude when no further attempt starts, once an attempt may have
+   * run: from then on the task can no longer be called not run.
+   */
+  earlier: TaskConclusion | undefined;
+  /** Wall-clock instant after which an unanswered order has no effect. */
+  orderNotAfter = 0;
 
   private constructor(readonly index: number) {}
 
@@ -28,6 +38,20 @@
     return new TaskRecord(index);
   }
 
+  /** A task as another coordinator left it. */
+  static fromState(state: TaskState): TaskRecord {
+    const record = new TaskRecord(state.index);
+    record.attempt = state.attempt;
+    record.owner = state.owner;
+    record.update = state.update;
+    record.isDispatchPermitted = state.isDispatchPermitted;
+    record.checkpoint = state.checkpoint;
+    record.earlier = state.earlier;
+    record.conclusion = state.conclusion;
+    record.orderNotAfter = state.orderNotAfter;
+    return record;
+  }
+
   /** Begins another attempt; news of earlier ones are dropped from now on. */
   startAttempt(): void {
     this.attempt += 1;
@@ -50,6 +74,23 @@
     return this.update !== undefined && isFinal(this.update);
   }
 
+  /** All of it, for another coordinator. */
+  toState(): TaskState {
+    const {index, attempt, owner, update, isDispatchPermitted} = this;
+    const {checkpoint, earlier, conclusion, orderNotAfter} = this;
+    return {
+      index,
+      attempt,
+      isDispatchPermitted,
+      orderNotAfter,
+      ...(owner && {owner}),
+      ...(update && {update}),
+      ...(checkpoint !== undefined && {checkpoint}),
+      ...(earlier && {earlier}),
+      ...(conclusion && {conclusion}),
+    };
+  }
+
   /** One word for callers and operators. */
   stage(): string {
     if (this.conclusion) return this.conclusion.kind;
--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -4,15 +4,20 @@
 import type {Metrics} from '@cardamomfield/metrics';
 import {
   CANCEL_REQUESTS,
+  FOLLOW_TASK,
   type PeerNetwork,
   PLACE_TASKS,
   type PlaceOrder,
   type TaskUpdate,
 } from '@cardamomfield/peer-protocol';
-import type {FailureDescription, TaskResult} from '@cardamomfield/types';
+import type {
+  FailureDescription,
+  TaskConclusion,
+  TaskResult,
+} from '@cardamomfield/types';
 import type {OwnerChooser} from './owner_chooser.js';
+import type {RegistrationStanding} from './registration_standing.js';
 import type {RequestRecord} from './request_record.js';
-import type {TaskConclusion} from './task_conclusion.js';
 import type {TaskFinder} from './task_finder.js';
 import type {TaskRecord} from './task_record.js';
 
@@ -31,6 +36,9 @@
 /** Time for one owner to start a service again; then another one is asked. */
 const SERVICE_RESTART_MILLISECONDS = 30_000;
 
+/** Time for an owner to send its news to a new coordinator. */
+const FOLLOW_TIMEOUT_MILLISECONDS = 1_000;
+
 /** Attempts that end with a failure of the task itself. */
 const MAXIMUM_FAILED_ATTEMPTS = 3;
 
@@ -49,7 +57,7 @@
    * Confirms that this process still coordinates the request; called before
    * every attempt.
    */
-  confirmRegistration: () => Promise<boolean>;
+  confirmRegistration: () => Promise<RegistrationStanding>;
 }
 
 type Reason = FailureDescription;
@@ -59,13 +67,6 @@
   private readonly excludedOwners = new Set<string>();
   private readonly excludedWorkers = new Set<string>();
   private failedAttempts = 0;
-  /**
-   * What to conclude when no further attempt starts, once an attempt may have
-   * run: from then on the task can no longer be called not run.
-   */
-  private earlier: TaskConclusion | undefined;
-  /** Wall-clock instant after which an unanswered order has no effect. */
-  private orderNotAfter = 0;
 
   private constructor(
     private readonly record: RequestRecord,
@@ -81,22 +82,44 @@
     return new TaskRun(record, task, options);
   }
 
-  /** Runs until the task has a conclusion. */
-  async run(): Promise<TaskConclusion> {
+  /** Runs until the task has a conclusion or another coordinator has it. */
+  async run(): Promise<TaskConclusion | undefined> {
+    if (this.task.conclusion) return this.task.conclusion;
+    if (this.record.isAdopted && this.task.owner) {
+      const conclusion = await this.resume();
+      if (conclusion) return conclusion;
+    }
     for (;;) {
-      const obstacle = await this.findObstacle();
-      if (obstacle) return this.earlier ?? obstacle;
+      if (this.record.isHandedOver) return undefined;
+      const obstacle = this.findObstacle();
+      if (obstacle) return this.task.earlier ?? obstacle;
+      const standing = await this.options.confirmRegistration();
+      if (standing === 'lost') return this.leaveToOther();
+      if (standing === 'unavailable') continue;
       this.task.startAttempt();
       const isSent = await this.place();
       if (!isSent) continue;
       const update = await this.follow();
-      const conclusion = this.conclude(update);
+      const conclusion = update && this.conclude(update);
       if (conclusion) return conclusion;
     }
   }
 
+  /** Another coordinator was given the request, and goes on with it. */
+  private leaveToOther(): undefined {
+    this.record.isHandedOver = true;
+    this.record.changed();
+  }
+
+  /** Goes on with an attempt that another coordinator began. */
+  private async resume(): Promise<TaskConclusion | undefined> {
+    if (this.task.owner) await this.adoptOwner(this.task.owner.name);
+    const update = await this.follow();
+    return update && this.conclude(update);
+  }
+
   /** Why no further attempt may be made, if so. */
-  private async findObstacle(): Promise<TaskConclusion | undefined> {
+  private findObstacle(): TaskConclusion | undefined {
     if (this.record.isCancelled) {
       return notRun('cancelled', 'the request was cancelled before it started');
     }
@@ -106,16 +129,13 @@
         'the deadline passed before the task could start',
       );
     }
-    if (!(await this.options.confirmRegistration())) {
-      return notRun('conflict', 'another entry host took over the request');
-    }
     return undefined;
   }
 
   /** A service that has run goes on past the deadline of its first start. */
   private isOverdue(): boolean {
     const {submission} = this.record;
-    if (submission.kind === 'service' && this.earlier) return false;
+    if (submission.kind === 'service' && this.task.earlier) return false;
     return this.options.clock.wallNow() >= submission.deadline;
   }
 
@@ -131,7 +151,7 @@
     this.task.owner = {name: owner.name, incarnation: owner.incarnation};
     const deadline = clock.monotonicNow() + PLACE_TIMEOUT_MILLISECONDS;
     const order = this.createOrder();
-    this.orderNotAfter = order.notAfter;
+    this.task.orderNotAfter = order.notAfter;
     const answer = await network.call(owner.name, PLACE_TASKS, order, deadline);
     return answer.caseOf({
       Right: () => true,
@@ -151,15 +171,13 @@
     const restartDeadline = now + SERVICE_RESTART_MILLISECONDS;
     return {
       ...submission,
-      deadline: this.earlier
+      deadline: this.task.earlier
         ? Math.max(submission.deadline, restartDeadline)
         : submission.deadline,
       coordinator: this.options.self,
       coordinatorIncarnation: this.options.incarnation,
       tasks: [
-        checkpoint === undefined
-          ? task
-          : {...task, checkpoint: checkpoint as PlaceOrder['payload']},
+        checkpoint === undefined ? task : {...task, checkpoint: checkpoint},
       ],
       excludedWorkers: [...this.excludedWorkers],
       notAfter: now + PLACE_TIMEOUT_MILLISECONDS,
@@ -167,10 +185,14 @@
     };
   }
 
-  /** Waits for the end of the attempt, wherever its owner goes. */
-  private async follow(): Promise<TaskUpdate> {
+  /**
+   * Waits for the end of the attempt, wherever its owner goes; undefined when
+   * another coordinator goes on with the request.
+   */
+  private async follow(): Promise<TaskUpdate | undefined> {
     let nextCancel = 0;
     for (;;) {
+      if (this.record.isHandedOver) return undefined;
       const update = this.task.update;
       if (update && this.task.hasEnded()) return update;
       if (update?.stage === 'in-doubt' || this.isOwnerGone()) {
@@ -223,10 +245,10 @@
     );
     if (found) {
       if (found.update) this.applyUpdate(found.update);
-      if (found.isLive) this.adoptOwner(found.reporter);
+      if (found.isLive) await this.adoptOwner(found.reporter);
       return;
     }
-    const isOrderDead = this.options.clock.wallNow() > this.orderNotAfter;
+    const isOrderDead = this.options.clock.wallNow() > this.task.orderNotAfter;
     if (report.isComplete && isOrderDead) {
       this.applyUpdate(this.lostUpdate());
       return;
@@ -251,9 +273,21 @@
     return true;
   }
 
-  private adoptOwner(name: string): void {
-    const incarnation = this.options.chooser.incarnationOf(name) ?? '';
+  /** Follows the task at an owner, which may not know this coordinator. */
+  private async adoptOwner(name: string): Promise<void> {
+    const {chooser, clock, network} = this.options;
+    const incarnation = chooser.incarnationOf(name) ?? '';
     this.task.owner = {name, incarnation};
+    const deadline = clock.monotonicNow() + FOLLOW_TIMEOUT_MILLISECONDS;
+    const task = this.identity();
+    const answer = await network.call(name, FOLLOW_TASK, {task}, deadline);
+    const isKnown = answer.caseOf({
+      Left: () => false,
+      Right: result => result.isKnown,
+    });
+    if (isKnown) return;
+    this.task.owner = undefined;
+    await this.pause(FIND_PAUSE_MILLISECONDS);
   }
 
   private lostUpdate(): TaskUpdate {
@@ -295,8 +329,8 @@
     update: Extract<TaskUpdate, {stage: 'ended'}>,
   ): TaskConclusion | undefined {
     const {worker, succeeded, value} = update;
-    this.earlier = this.ran(worker, succeeded, value);
-    if (succeeded || !this.mayRetryFailure()) return this.earlier;
+    this.task.earlier = this.ran(worker, succeeded, value);
+    if (succeeded || !this.mayRetryFailure()) return this.task.earlier;
     this.excludedWorkers.add(worker);
     return undefined;
   }
@@ -324,17 +358,17 @@
     const {submission, isCancelled} = this.record;
     const succeeded = isCancelled && submission.kind === 'service';
     const value = {stopped: update.reason};
-    this.earlier = this.ran(update.worker, succeeded, value);
+    this.task.earlier = this.ran(update.worker, succeeded, value);
     this.task.checkpoint = update.checkpoint ?? this.task.checkpoint;
-    return this.mayRepeat() ? undefined : this.earlier;
+    return this.mayRepeat() ? undefined : this.task.earlier;
   }
 
   private concludeLost(
     update: Extract<TaskUpdate, {stage: 'lost'}>,
   ): TaskConclusion | undefined {
     const reason: Reason = {code: 'uncertain', message: update.reason};
-    this.earlier = {kind: 'unknown', reason};
-    return this.mayRepeat() ? undefined : this.earlier;
+    this.task.earlier = {kind: 'unknown', reason};
+    return this.mayRepeat() ? undefined : this.task.earlier;
   }
 
   private mayRepeat(): boolean {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -12,6 +12,7 @@
 export * from './rule.js';
 export * from './service.js';
 export * from './submission.js';
+export * from './task_conclusion.js';
 export * from './task_identity.js';
 export * from './task_result.js';
 export * from './team.js';
