--- a/packages/entry-host/src/entry_host.ts
+++ b/packages/entry-host/src/entry_host.ts
@@ -1,6 +1,5 @@
 import {CallerServer} from '@cardamomfield/caller-api';
 import type {PeerMesh} from '@cardamomfield/peers';
-import {KeyPartitions} from '@cardamomfield/requests';
 import type {DependencyContainer} from 'tsyringe';
 import {EntryParts} from './entry_parts.js';
 import {GracefulStop} from './graceful_stop.js';
@@ -49,9 +48,7 @@
     const {settings, base} = this.parts;
     const peerPort = await this.mesh.listen();
     this.mesh.setPeers(settings.peers);
-    this.connectParts();
-    const {signal} = this.controller;
-    for (const part of this.runnables()) void part.run(signal);
+    void this.parts.run(this.controller.signal);
     const callerPort = await this.server.listen();
     base.timeline.record('process.started', {incarnation: base.incarnation});
     base.logger.info('entry host started', {callerPort, peerPort});
@@ -69,37 +66,4 @@
     await this.mesh.close();
     base.logger.info('entry host stopped');
   }
-
-  private runnables(): Array<{run(signal: AbortSignal): Promise<void>}> {
-    const {streams, configuration, ownership, owner, requests} = this.parts;
-    return [...streams, configuration, ownership, owner, requests];
-  }
-
-  /** Passes configuration and ownership on to those who need them. */
-  private connectParts(): void {
-    const {configuration, ownership, owner, registrar} = this.parts;
-    const apply = () => this.applyConfiguration();
-    configuration.onChange(apply);
-    apply();
-    ownership.addListener({
-      gained: (group, epoch) => {
-        if (KeyPartitions.isPartition(group)) registrar.gain(group, epoch);
-        else owner.gain(group, epoch);
-      },
-      lost: group => {
-        if (KeyPartitions.isPartition(group)) registrar.lose(group);
-        else owner.lose(group);
-      },
-    });
-  }
-
-  private applyConfiguration(): void {
-    const {base, configuration, ownership, owner} = this.parts;
-    const current = configuration.current();
-    if (!current) return;
-    base.timeline.record('configuration.applied', {version: current.version});
-    owner.setConfiguration(current.state);
-    const racks = Object.keys(current.state.racks);
-    ownership.setGroups([...racks, ...KeyPartitions.names()]);
-  }
 }
--- a/packages/entry-host/src/entry_parts.ts
+++ b/packages/entry-host/src/entry_parts.ts
@@ -9,6 +9,7 @@
 import {OwnerScheduler} from '@cardamomfield/placement';
 import type {PlatformLog} from '@cardamomfield/platform';
 import {
+  KeyPartitions,
   KeyRegistrar,
   KeyRegistrarClient,
   OwnerChooser,
@@ -86,6 +87,40 @@
     return Object.keys(this.configuration.current()?.state.racks ?? {});
   }
 
+  /** Runs all parts until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    this.connect();
+    const {streams, configuration, ownership, owner, requests} = this;
+    const runnables = [...streams, configuration, ownership, owner, requests];
+    await Promise.all(runnables.map(part => part.run(signal)));
+  }
+
+  /** Passes configuration and ownership on to those who need them. */
+  private connect(): void {
+    const {configuration, ownership, owner, registrar} = this;
+    configuration.onChange(() => this.applyConfiguration());
+    this.applyConfiguration();
+    ownership.addListener({
+      gained: (group, epoch) => {
+        if (KeyPartitions.isPartition(group)) registrar.gain(group, epoch);
+        else owner.gain(group, epoch);
+      },
+      lost: group => {
+        if (KeyPartitions.isPartition(group)) registrar.lose(group);
+        else owner.lose(group);
+      },
+    });
+  }
+
+  private applyConfiguration(): void {
+    const current = this.configuration.current();
+    if (!current) return;
+    const {version, state} = current;
+    this.base.timeline.record('configuration.applied', {version});
+    this.owner.setConfiguration(state);
+    this.ownership.setGroups([...this.racks(), ...KeyPartitions.names()]);
+  }
+
   private createConfiguration(): Configuration {
     const fold = ConfigurationFold.create();
     const stream = follow(this.container, 'configuration', fold);
