--- /dev/null
+++ b/packages/peers/src/wire_answer.ts
@@ -0,0 +1,19 @@
+import {FailureDescription} from '@cardamomfield/types';
+import {z} from 'zod';
+
+/**
+ * The answer to a call. `refused` means that the handler returned a failure or
+ * was never run; `faulted` that it threw, possibly after it had an effect. The
+ * value is absent when the handler returned nothing.
+ */
+export const WireAnswer = z.discriminatedUnion('outcome', [
+  z.strictObject({
+    outcome: z.literal('done'),
+    value: z.unknown().optional(),
+  }),
+  z.strictObject({
+    outcome: z.enum(['refused', 'faulted']),
+    failure: FailureDescription,
+  }),
+]);
+export type WireAnswer = z.infer<typeof WireAnswer>;
