--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,6 +3,7 @@
 export * from './hold_commit.js';
 export * from './hold_request.js';
 export * from './job.js';
+export * from './naive_scheduler.js';
 export * from './owner_scheduler.js';
 export * from './owner_summary.js';
 export * from './placed_task.js';
--- a/packages/placement/src/policy_set.ts
+++ b/packages/placement/src/policy_set.ts
@@ -37,7 +37,10 @@
   }
 
   policyOf(job: Job): PlacementPolicy {
-    const name = job.policy ?? this.defaults[job.kind];
+    return this.byNameOrDefault(job.policy ?? this.defaults[job.kind]);
+  }
+
+  byNameOrDefault(name: string): PlacementPolicy {
     return this.byName.get(name) ?? this.byName.get('best-fit')!;
   }
 }
