--- /dev/null
+++ b/packages/fuzz/src/simulated_host.ts
@@ -0,0 +1,171 @@
+import {
+  type Clock,
+  type ManualClock,
+  SeededRandomSource,
+} from '@cardamomfield/clock';
+import {EntryParts, TOKENS} from '@cardamomfield/entry-host';
+import {SilentLogger} from '@cardamomfield/logger';
+import {MemoryMetrics} from '@cardamomfield/metrics';
+import {SelfCallingNetwork} from '@cardamomfield/peer-protocol';
+import type {MemoryPeerHub} from '@cardamomfield/peers';
+import type {WorkerConnector} from '@cardamomfield/platform';
+import {
+  type FaultGate,
+  type HostListService,
+  type LogService,
+  MemoryHostList,
+  MemoryPlatformLog,
+  MemoryWorker,
+  type WorkerService,
+} from '@cardamomfield/platform-stand-ins';
+import {EntrySettings} from '@cardamomfield/settings';
+import {Timeline} from '@cardamomfield/timeline';
+import {container} from 'tsyringe';
+import {HostGate} from './host_gate.js';
+
+interface SimulatedHostOptions {
+  name: string;
+  incarnation: string;
+  region: string;
+  seed: number;
+  /** Offset of this host's wall clock in milliseconds. */
+  wallOffset: number;
+  clock: ManualClock;
+  hub: MemoryPeerHub;
+  log: LogService;
+  hostList: HostListService;
+  workers: ReadonlyMap<string, WorkerService>;
+}
+
+/** One incarnation of one entry host over in-memory fakes. */
+export class SimulatedHost {
+  private readonly controller = new AbortController();
+
+  private constructor(
+    readonly name: string,
+    readonly parts: EntryParts,
+    readonly metrics: MemoryMetrics,
+    private readonly hub: MemoryPeerHub,
+    private readonly gate: HostGate,
+    private readonly links: Map<string, FaultGate>,
+  ) {}
+
+  /** Starts the host. */
+  static async create(options: SimulatedHostOptions): Promise<SimulatedHost> {
+    const gate = HostGate.create();
+    const links = new Map<string, FaultGate>();
+    const metrics = MemoryMetrics.create();
+    const parts = await createParts(options, gate, links, metrics);
+    const {name, hub} = options;
+    const host = new SimulatedHost(name, parts, metrics, hub, gate, links);
+    void parts.run(host.controller.signal);
+    return host;
+  }
+
+  /** Aborts once the host is dead. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Ends the process at once; what is in sockets may still arrive. */
+  kill(): void {
+    this.controller.abort();
+    this.gate.pause();
+    for (const faults of this.links.values()) faults.set({silent: true});
+    this.hub.kill(this.name);
+  }
+
+  pause(): void {
+    this.gate.pause();
+    this.hub.pause(this.name);
+  }
+
+  resume(): void {
+    this.gate.resume();
+    this.hub.resume(this.name);
+  }
+
+  /** Cuts the host off from the log, or ends the cut. */
+  cutFromLog(isCut: boolean): void {
+    this.links.get('log')?.set({silent: isCut});
+  }
+
+  /** Cuts the host off from one worker, or ends the cut. */
+  cutFromWorker(worker: string, isCut: boolean): void {
+    this.links.get(`worker ${worker}`)?.set({silent: isCut});
+  }
+
+  /** Holds commands to a worker back, as in a socket buffer. */
+  holdCommands(worker: string, isHeld: boolean): void {
+    this.links.get(`worker ${worker}`)?.set({holdWrites: isHeld});
+  }
+}
+
+async function createParts(
+  options: SimulatedHostOptions,
+  gate: HostGate,
+  links: Map<string, FaultGate>,
+  metrics: MemoryMetrics,
+): Promise<EntryParts> {
+  const {name, incarnation} = options;
+  const clock = gate.wrapClock(options.clock, options.wallOffset);
+  const timeline = Timeline.create({process: name, clock});
+  const network = options.hub.join({name, incarnation, clock, timeline});
+  const log = MemoryPlatformLog.create({
+    clock: options.clock,
+    service: options.log,
+  });
+  const hostList = MemoryHostList.create({
+    clock: options.clock,
+    service: options.hostList,
+  });
+  links.set('log', log.faults);
+  links.set('host-list', hostList.faults);
+  const parts = container.createChildContainer();
+  const values = {
+    settings: createSettings(options),
+    incarnation,
+    clock,
+    random: SeededRandomSource.create(options.seed),
+    logger: SilentLogger.create(),
+    metrics,
+    timeline,
+    platformLog: gate.wrap(log),
+    hostList: gate.wrap(hostList),
+    workerConnector: createConnector(options, gate, links),
+    network: SelfCallingNetwork.create(network, incarnation),
+  };
+  for (const [part, useValue] of Object.entries(values)) {
+    parts.register(TOKENS[part as keyof typeof values], {useValue});
+  }
+  return EntryParts.create(parts);
+}
+
+function createSettings(options: SimulatedHostOptions): EntrySettings {
+  return EntrySettings.parse({
+    processName: options.name,
+    region: options.region,
+    availabilityZone: `${options.region}-1`,
+    logServiceUrl: 'http://127.0.0.1:1',
+    hostListUrl: 'http://127.0.0.1:1',
+  });
+}
+
+function createConnector(
+  options: SimulatedHostOptions,
+  gate: HostGate,
+  links: Map<string, FaultGate>,
+): WorkerConnector {
+  const clients = new Map<string, MemoryWorker>();
+  return {
+    connect: worker => {
+      const service = options.workers.get(worker.name);
+      const known = clients.get(worker.name);
+      const client =
+        known ?? MemoryWorker.create({clock: options.clock, service: service!});
+      clients.set(worker.name, client);
+      links.set(`worker ${worker.name}`, client.faults);
+      return gate.wrap(client);
+    },
+  };
+}
--- /dev/null
+++ b/packages/fuzz/src/system_oracle.ts
@@ -0,0 +1,129 @@
+import {InternalError} from '@cardamomfield/errors';
+import {RESOURCE_NAMES} from '@cardamomfield/types';
+import type {SimulatedRequest} from './simulated_request.js';
+import type {SimulatedSystem} from './simulated_system.js';
+
+/** A leaving worker must get no new work this long after it is shown. */
+const LEAVING_LIMIT_MILLISECONDS = 3_000;
+
+/** What must hold at every instant, told from the workers' own records. */
+export class SystemOracle {
+  private readonly versions = new Map<string, number>();
+  private checkedStarts = 0;
+
+  private constructor(private readonly system: SimulatedSystem) {}
+
+  static create(system: SimulatedSystem): SystemOracle {
+    return new SystemOracle(system);
+  }
+
+  /** Throws on the first breach. */
+  check(): void {
+    this.checkCapacity();
+    this.checkSingleCopies();
+    this.checkLeaving();
+    this.checkVersions();
+    this.system.requests.forEach(request => this.checkRequest(request));
+    this.checkSameAnswers();
+  }
+
+  private checkCapacity(): void {
+    const {ledger, workerNames} = this.system;
+    const capacity = this.system.capacity();
+    for (const worker of workerNames) {
+      const peak = ledger.peakReserved(worker);
+      for (const name of RESOURCE_NAMES) {
+        if (peak[name] > capacity[name]) {
+          fail('G1', `${worker} held ${peak[name]} of ${name}`);
+        }
+      }
+    }
+  }
+
+  private checkSingleCopies(): void {
+    const [overlap] = this.system.ledger.overlaps();
+    if (overlap) fail('G2', `two copies ran: ${JSON.stringify(overlap)}`);
+  }
+
+  private checkLeaving(): void {
+    const {ledger, leavingSince} = this.system;
+    const starts = ledger.all();
+    for (const start of starts.slice(this.checkedStarts)) {
+      const since = leavingSince.get(start.worker);
+      if (since === undefined) continue;
+      if (start.startedAt > since + LEAVING_LIMIT_MILLISECONDS) {
+        fail('G6', `a start on a leaving worker: ${JSON.stringify(start)}`);
+      }
+    }
+    this.checkedStarts = starts.length;
+  }
+
+  private checkVersions(): void {
+    for (const host of this.system.liveHosts()) {
+      const version = host.parts.configuration.current()?.version;
+      if (version === undefined) continue;
+      const before = this.versions.get(host.name) ?? -1;
+      if (version < before) {
+        fail('G8', `${host.name} fell from ${before} to ${version}`);
+      }
+      this.versions.set(host.name, version);
+    }
+  }
+
+  private checkRequest(request: SimulatedRequest): void {
+    const {ledger} = this.system;
+    const {key, submission, answer} = request;
+    const starts = ledger.startsOf(key);
+    if (!submission.idempotent && starts > submission.taskCount) {
+      fail('G5', `non-idempotent ${key} started ${starts} times`);
+    }
+    if (answer?.outcome === 'not-run' && this.ranBefore(request)) {
+      fail('G4', `${key} was called not run and started`);
+    }
+    if (answer?.outcome === 'ran') this.checkResults(request);
+  }
+
+  /** A key may be used again later; only starts of this call's time count. */
+  private ranBefore(request: SimulatedRequest): boolean {
+    const others = this.system.requests.filter(
+      each => each.key === request.key && each !== request,
+    );
+    const isShared = others.some(each => each.answer?.outcome !== 'not-run');
+    return !isShared && this.system.ledger.startsOf(request.key) > 0;
+  }
+
+  private checkResults(request: SimulatedRequest): void {
+    const {answer, submission} = request;
+    if (answer?.outcome !== 'ran') return;
+    const count = answer.results.length + answer.notRun.length;
+    if (count !== submission.taskCount) {
+      fail('G3', `${request.key} got ${count} of ${submission.taskCount}`);
+    }
+    const {value} = submission.payload as {value: string};
+    for (const result of answer.results) {
+      if (result.succeeded && submission.kind !== 'service') {
+        if (result.value !== value) {
+          fail('G3', `${request.key} got ${JSON.stringify(result)}`);
+        }
+      }
+    }
+  }
+
+  /** One key has one answer, whoever asks; doubt may be resolved later. */
+  private checkSameAnswers(): void {
+    const answers = new Map<string, string>();
+    for (const {key, answer} of this.system.requests) {
+      if (!answer || answer.outcome !== 'ran') continue;
+      const text = JSON.stringify(answer);
+      const other = answers.get(key);
+      if (other !== undefined && other !== text) {
+        fail('G3', `${key} got two answers: ${other} and ${text}`);
+      }
+      answers.set(key, text);
+    }
+  }
+}
+
+function fail(guarantee: string, message: string): never {
+  throw InternalError.create(`${guarantee}: ${message}`);
+}
