Add the log follower

Absence from the tail does not prove that an append has no effect while the append may still arrive. Records therefore carry an instant after which every follower ignores them; a tail read sent after that instant is a proof.

A memory client in an outage no longer receives answers that were on their way.

--- a/packages/log-follower/src/index.ts
+++ b/packages/log-follower/src/index.ts
@@ -1,3 +1,7 @@
 /** Reads a log stream into a state by a pure fold. */
+export * from './backoff.js';
 export * from './followed_stream.js';
+export * from './log_envelope.js';
+export * from './log_follower.js';
+export * from './log_follower_settings.js';
 export * from './stream_fold.js';
--- /dev/null
+++ b/packages/log-follower/src/log_follower_settings.ts
@@ -0,0 +1,36 @@
+import {z} from 'zod';
+
+/** Settings of a log follower; all have defaults. */
+export const LogFollowerSettings = z.strictObject({
+  /** Longest time that a read waits for new records. */
+  pollMilliseconds: z.number().positive().default(2_000),
+  /** Time allowed for a read beyond its wait. */
+  readMilliseconds: z.number().positive().default(1_000),
+  recordsPerRead: z.int().positive().default(500),
+  /** Bounds of the waiting time after a failed read. */
+  backoffMinimumMilliseconds: z.number().positive().default(50),
+  backoffMaximumMilliseconds: z.number().positive().default(2_000),
+  /** Largest difference between this host's wall clock and the log's. */
+  clockSkewMilliseconds: z.number().nonnegative().default(500),
+  /** Whether this process writes snapshots. */
+  writesSnapshots: z.boolean().default(true),
+  /**
+   * Age and number of records since the last snapshot at which a new one is
+   * due. Both must be well below the retention of the log.
+   */
+  snapshotAfterMilliseconds: z.number().positive().default(3_600_000),
+  snapshotAfterRecords: z.int().positive().default(5_000),
+  /**
+   * Share of both thresholds that is added at random, so that one process
+   * usually writes before the others find a snapshot due.
+   */
+  snapshotJitter: z.number().nonnegative().default(0.25),
+  /** Time after a failed snapshot before the next attempt. */
+  snapshotRetryMilliseconds: z.number().positive().default(10_000),
+  /**
+   * Whether a stream whose start was trimmed may be read from its head without
+   * a snapshot. Right only when trimmed records no longer matter.
+   */
+  acceptsTrimmedStart: z.boolean().default(false),
+});
+export type LogFollowerSettings = z.infer<typeof LogFollowerSettings>;
--- /dev/null
+++ b/packages/log-follower/src/pending_append.ts
@@ -0,0 +1,29 @@
+/** What became of an append, once its record has been read. */
+type Outcome = {offset: number; isExpired: boolean};
+
+/** An append of this process whose record has not been read yet. */
+export class PendingAppend {
+  private readonly controller = new AbortController();
+  private result: Outcome | undefined;
+
+  private constructor(readonly id: string) {}
+
+  static create(id: string): PendingAppend {
+    return new PendingAppend(id);
+  }
+
+  /** Aborts when the outcome is known. */
+  get known(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  outcome(): Outcome | undefined {
+    return this.result;
+  }
+
+  /** Notes the record; a second one of the same append changes nothing. */
+  resolve(outcome: Outcome): void {
+    this.result ??= outcome;
+    this.controller.abort();
+  }
+}
--- a/packages/platform-stand-ins/src/fault_gate.ts
+++ b/packages/platform-stand-ins/src/fault_gate.ts
@@ -80,6 +80,7 @@
     const answer = await effect();
     await this.pause(this.settings.answerDelayMilliseconds);
     if (this.settings.silent) return {kind: 'silent'};
+    if (this.settings.outage) return {kind: isWrite ? 'lost' : 'unavailable'};
     if (isWrite && this.losesAnswer()) return {kind: 'lost'};
     return {kind: 'answered', answer};
   }
