--- a/packages/entry-host/src/entry_parts.ts
+++ b/packages/entry-host/src/entry_parts.ts
@@ -16,8 +16,9 @@
   RequestCoordinator,
   TaskFinder,
 } from '@cardamomfield/requests';
-import {RequestJournal} from '@cardamomfield/request-journal';
 import type {EntrySettings} from '@cardamomfield/settings';
+import {UnavailableError} from '@cardamomfield/errors';
+import {Left, Right} from 'purify-ts';
 import type {DependencyContainer} from 'tsyringe';
 import {BaseParts} from './base_parts.js';
 import {ConfigurationChecker} from './configuration_checker.js';
@@ -163,7 +164,13 @@
     return RequestCoordinator.create({
       ...base,
       self: settings.processName,
-      journal: this.createJournal(),
+      // Non-idempotent requests are refused until the journal is wired in.
+      journal: {
+        recordIntent: async () =>
+          Left(UnavailableError.create('there is no journal yet')),
+        recordOutcome: async () => Right(undefined),
+        find: () => undefined,
+      },
       registrar: KeyRegistrarClient.create({...base, ownership}),
       chooser: OwnerChooser.create({
         ...base,
--- a/packages/fuzz/src/host_gate.ts
+++ b/packages/fuzz/src/host_gate.ts
@@ -51,16 +51,13 @@
       get: (object, name) => {
         const member = Reflect.get(object, name, object) as unknown;
         if (typeof member !== 'function') return member;
-        return (...values: unknown[]) => this.call(object, member as Callable, values);
+        return (...values: unknown[]) =>
+          this.call(object, member as Callable, values);
       },
     });
   }
 
-  private call(
-    target: object,
-    method: Callable,
-    values: unknown[],
-  ): unknown {
+  private call(target: object, method: Callable, values: unknown[]): unknown {
     const result = method.apply(target, values);
     if (!(result instanceof Promise)) return result;
     return result.then(async value => {
--- a/packages/fuzz/src/system_operation.ts
+++ b/packages/fuzz/src/system_operation.ts
@@ -51,7 +51,11 @@
   },
   {
     weight: 1,
-    arbitrary: fc.record({type: fc.constant('cut' as const), host, other: host}),
+    arbitrary: fc.record({
+      type: fc.constant('cut' as const),
+      host,
+      other: host,
+    }),
   },
   {weight: 1, arbitrary: fc.record({type: fc.constant('heal' as const)})},
   {
--- a/packages/fuzz/src/system_run.ts
+++ b/packages/fuzz/src/system_run.ts
@@ -48,6 +48,16 @@
     }
   }
 
+  /** How many callers got each outcome. */
+  outcomes(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const request of this.system.requests) {
+      const outcome = request.answer?.outcome ?? request.failure ?? 'none';
+      counts[outcome] = (counts[outcome] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   private async apply(operation: Operation): Promise<void> {
     const {system} = this;
     switch (operation.type) {
@@ -110,8 +120,7 @@
       ? `key-${operation.keyNumber}`
       : `generated-${number}`;
     const earlier = system.requests.find(request => request.key === key);
-    const isIdempotent =
-      operation.isIdempotent || operation.kind === 'service';
+    const isIdempotent = operation.isIdempotent || operation.kind === 'service';
     const fields = earlier?.submission ?? {
       kind: operation.kind as 'interactive',
       idempotent: isIdempotent,
@@ -178,8 +187,7 @@
     for (const number of [operation.host, operation.other]) {
       const parts = this.host(number)?.parts;
       const current = parts?.configuration.current();
-      const worker =
-        current?.state.workers[this.workerName(operation.worker)];
+      const worker = current?.state.workers[this.workerName(operation.worker)];
       if (!parts || !current || !worker) continue;
       const change = {
         kind: 'delta' as const,
