Connect entry hosts over TCP with replacement of silent connections

PeerMesh implements PeerNetwork: length-prefixed JSON-RPC frames, one connection for each pair, one sequential task for each peer and connection. A shared contract test runs over the memory and the TCP version; directed tests use real sockets on loopback.

An incarnation is newer when its process started later; a UUID alone gives no order. Every call of a connection that closes is uncertain once it has been sent; a full send buffer, too many calls or a passed deadline are unavailable. An answer that does not fit into the send buffer closes the connection, so that its caller learns that it is lost.

Contract test, in both versions: unchanged sections that age; changed sections that are not sent again.

--- /dev/null
+++ b/packages/peers/src/encode_frame.ts
@@ -0,0 +1,11 @@
+import {FRAME_HEADER_BYTES} from './frame_header.js';
+
+/** A JSON value as a frame: its length in four bytes, then UTF-8 text. */
+export function encodeFrame(value: unknown): Buffer {
+  const text = JSON.stringify(value);
+  const length = Buffer.byteLength(text);
+  const frame = Buffer.allocUnsafe(FRAME_HEADER_BYTES + length);
+  frame.writeUInt32BE(length);
+  frame.write(text, FRAME_HEADER_BYTES);
+  return frame;
+}
--- /dev/null
+++ b/packages/peers/src/peer_address.ts
@@ -0,0 +1,7 @@
+/** Where a peer listens. */
+export interface PeerAddress {
+  name: string;
+  /** IP address. */
+  address: string;
+  port: number;
+}
--- /dev/null
+++ b/packages/peers/src/protocol_version.ts
@@ -0,0 +1,2 @@
+/** Version of the messages between entry hosts; both sides must agree. */
+export const PROTOCOL_VERSION = 1;
--- a/packages/retries/src/index.ts
+++ b/packages/retries/src/index.ts
@@ -1,2 +1,2 @@
 /** Retry budget, absolute deadlines and matching of replies. */
-export {};
+export * from './backoff.js';
