--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,4 +1,6 @@
 /** Inventory and rules: acceptance, following, publishing and spreading between peers. */
+export * from './apply_delta.js';
+export * from './check_change.js';
 export * from './configuration.js';
 export * from './configuration_change.js';
 export * from './configuration_delta.js';
@@ -7,11 +9,17 @@
 export * from './configuration_record.js';
 export * from './dictionary.js';
 export * from './empty_configuration.js';
+export * from './file_problem.js';
+export * from './inventory_change.js';
+export * from './inventory_file.js';
 export * from './item_kinds.js';
 export * from './no_version.js';
+export * from './parse_file.js';
 export * from './publish_outcome.js';
 export * from './refusal.js';
 export * from './resolve_rule.js';
+export * from './rules_change.js';
+export * from './rules_file.js';
 export * from './to_delta.js';
 export * from './verdict.js';
 export * from './versioned_configuration.js';
--- /dev/null
+++ b/packages/configuration/src/inventory_file.ts
@@ -0,0 +1,17 @@
+import {Rack, Service, Team, Worker} from '@cardamomfield/types';
+import {z} from 'zod';
+
+/** A worker in a file; without a state it keeps the one that it has. */
+const FileWorker = Worker.extend({state: Worker.shape.state.optional()});
+
+/**
+ * An inventory as operators write it, in YAML or JSON. Every list must be
+ * there, because a forgotten one would remove all its items.
+ */
+export const InventoryFile = z.strictObject({
+  racks: z.array(Rack),
+  teams: z.array(Team),
+  services: z.array(Service),
+  workers: z.array(FileWorker),
+});
+export type InventoryFile = z.infer<typeof InventoryFile>;
