Add the cardamomfield command

Exit codes separate a refusal (1) from an unknown outcome (3) and from no effect at all (4), so that a script never repeats what may have taken effect.

--- /dev/null
+++ b/packages/cli/src/entry_connection.ts
@@ -0,0 +1,7 @@
+/** Options of all subcommands that talk to entry hosts. */
+export interface EntryConnection {
+  /** Base URLs; absent: those of the environment. */
+  entry: string[] | undefined;
+  timeoutSeconds: number;
+  json: boolean;
+}
--- /dev/null
+++ b/packages/cli/src/get_configuration.ts
@@ -0,0 +1,16 @@
+import {VersionedConfiguration} from '@cardamomfield/configuration';
+import type {TypedError} from '@cardamomfield/errors';
+import type {Either} from 'purify-ts';
+import {z} from 'zod';
+import type {EntryClient} from './entry_client.js';
+
+/** Newer entry hosts may send more than version and state. */
+const Answer = z.looseObject(VersionedConfiguration.shape);
+
+/** The configuration in force at the first entry host that answers. */
+export async function getConfiguration(
+  client: EntryClient,
+): Promise<Either<TypedError, VersionedConfiguration>> {
+  const answer = await client.get('/v1/configuration', Answer);
+  return answer.map(({version, state}) => ({version, state}));
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,4 @@
 /** The cardamomfield command. */
-export {};
+export * from './command_context.js';
+export * from './exit_code.js';
+export * from './run_command_line.js';
--- /dev/null
+++ b/packages/cli/src/show_view.ts
@@ -0,0 +1,22 @@
+import type {CommandRun} from './command_run.js';
+import {ExitCode} from './exit_code.js';
+import {formatValue} from './format_value.js';
+import type {RequestView} from './request_view.js';
+
+/** Exit codes by the outcome of a request. */
+const CODES = {
+  ran: ExitCode.ok,
+  'not-run': ExitCode.refused,
+  unknown: ExitCode.unknown,
+} as const;
+
+/** Prints the state of a request; an unfinished one is a success. */
+export function showView(
+  {context}: CommandRun,
+  view: RequestView,
+  json: boolean,
+): ExitCode {
+  const lines = json ? [JSON.stringify(view)] : formatValue(view);
+  for (const line of lines) context.writeLine(line);
+  return view.answer ? CODES[view.answer.outcome] : ExitCode.ok;
+}
--- /dev/null
+++ b/packages/cli/src/timeline_answer.ts
@@ -0,0 +1,11 @@
+import {TimelineEvent} from '@cardamomfield/timeline';
+import {z} from 'zod';
+
+const events = z.array(TimelineEvent);
+
+/** Events of one entry host, bare or as the field `events`. */
+export const TimelineAnswer = z.union([
+  events,
+  z.looseObject({events}).transform(answer => answer.events),
+]);
+export type TimelineAnswer = z.infer<typeof TimelineAnswer>;
