Prove single ownership by fuzzing the real classes in virtual time

Hosts, log and links run in one event queue: paused processes, one-way cuts, restarts, log outages and delays, lost append answers, late messages, clock rates that differ by up to 1 %, releases, and voter changes up to seven hosts. The oracle runs after every event.

Found by the directed runs and fixed: rebalancing during a log outage stopped an owner whose release could then not be appended; and the first host to see the first voters claimed every group, without a deputy.

--- a/packages/fuzz/src/index.ts
+++ b/packages/fuzz/src/index.ts
@@ -1,2 +1,3 @@
 /** Stateful fuzzing of the whole system against a simple oracle. A development tool. */
-export {};
+export * from './ownership_fuzz.js';
+export * from './weakened_ownership.js';
--- /dev/null
+++ b/packages/fuzz/src/ownership_simulation.ts
@@ -0,0 +1,160 @@
+import {SeededRandomSource} from '@cardamomfield/clock';
+import type {FollowedStream} from '@cardamomfield/log-follower';
+import type {OwnershipSettings, OwnershipState} from '@cardamomfield/ownership';
+import type {PeerNetwork} from '@cardamomfield/peer-protocol';
+import type {OwnershipFault} from './ownership_fault.js';
+import {OwnershipOracle} from './ownership_oracle.js';
+import type {SimulatedClock} from './simulated_clock.js';
+import {SimulatedHost} from './simulated_host.js';
+import {SimulatedLinks} from './simulated_links.js';
+import {SimulatedLog} from './simulated_log.js';
+import {SimulatedWorld} from './simulated_world.js';
+
+interface OwnershipSimulationOptions {
+  seed: number;
+  hosts: readonly string[];
+  groups: readonly string[];
+  settings?: Partial<OwnershipSettings>;
+  wrapStream?: (
+    stream: FollowedStream<OwnershipState>,
+    clock: SimulatedClock,
+  ) => FollowedStream<OwnershipState>;
+  wrapNetwork?: (network: PeerNetwork, clock: SimulatedClock) => PeerNetwork;
+}
+
+/** Time given to commands of operators within a run. */
+const COMMAND_MILLISECONDS = 5_000;
+
+/** Several hosts, the log and the links between them in virtual time. */
+export class OwnershipSimulation {
+  readonly world: SimulatedWorld;
+  readonly log: SimulatedLog;
+  readonly links: SimulatedLinks;
+  readonly hosts: SimulatedHost[];
+  readonly oracle: OwnershipOracle;
+  private readonly left = new Set<string>();
+  private readonly starts: Array<() => Promise<void>> = [];
+
+  private constructor(private readonly options: OwnershipSimulationOptions) {
+    const random = SeededRandomSource.create(options.seed);
+    this.world = SimulatedWorld.create(random);
+    this.log = SimulatedLog.create(this.world);
+    this.links = SimulatedLinks.create(this.world);
+    this.hosts = options.hosts.map(name => this.createHost(name));
+    this.oracle = OwnershipOracle.create(this.hosts, options.groups);
+  }
+
+  static create(options: OwnershipSimulationOptions): OwnershipSimulation {
+    return new OwnershipSimulation(options);
+  }
+
+  host(name: string): SimulatedHost {
+    return this.hosts.find(host => host.name === name)!;
+  }
+
+  /** Hosts that have not left for good. */
+  remainingHosts(): SimulatedHost[] {
+    return this.hosts.filter(host => !this.left.has(host.name));
+  }
+
+  async start(hosts: readonly string[] = this.options.hosts): Promise<void> {
+    for (const name of hosts) await this.host(name).start();
+  }
+
+  /** Advances to a global instant, checking the oracle after every step. */
+  async runUntil(end: number): Promise<void> {
+    const check = () => this.oracle.check();
+    // A process starts by asynchronous work outside virtual time, so the
+    // queue runs in slices that end where a start is due.
+    while (this.world.now() < end && !this.oracle.violation) {
+      const slice = Math.min(end, this.world.now() + 5);
+      await this.world.runUntil(slice, check);
+      for (const start of this.starts.splice(0)) await start();
+    }
+  }
+
+  /** Begins a fault and schedules its end. */
+  begin(fault: OwnershipFault): void {
+    switch (fault.kind) {
+      case 'cut': {
+        const link = `${fault.from}>${fault.to}`;
+        this.links.cuts.add(link);
+        this.end(fault.until, () => this.links.cuts.delete(link));
+        break;
+      }
+      case 'pause':
+        this.host(fault.host).pause(fault.until);
+        break;
+      case 'restart':
+        this.restart(fault.host, fault.until);
+        break;
+      case 'log-outage':
+        for (const name of fault.hosts) this.log.unreachableFor.add(name);
+        this.end(fault.until, () => {
+          for (const name of fault.hosts) this.log.unreachableFor.delete(name);
+        });
+        break;
+      case 'log-delay':
+        this.log.extraDelayMilliseconds = fault.milliseconds;
+        this.end(fault.until, () => (this.log.extraDelayMilliseconds = 0));
+        break;
+      case 'lost-answers':
+        this.log.lostAnswers = fault.share;
+        this.end(fault.until, () => (this.log.lostAnswers = 0));
+        break;
+      case 'late-messages':
+        this.links.lateShare = fault.share;
+        this.end(fault.until, () => (this.links.lateShare = 0));
+        break;
+      case 'release':
+        this.release(fault.host, fault.group);
+        break;
+      case 'leave':
+        this.leave(fault.host);
+        break;
+    }
+  }
+
+  private createHost(name: string): SimulatedHost {
+    return SimulatedHost.create({
+      world: this.world,
+      log: this.log,
+      links: this.links,
+      name,
+      groups: this.options.groups,
+      settings: this.options.settings ?? {},
+      wrapStream: this.options.wrapStream ?? (stream => stream),
+      wrapNetwork: this.options.wrapNetwork ?? (network => network),
+    });
+  }
+
+  private end(at: number, run: () => void): void {
+    this.world.schedule(at, run);
+  }
+
+  private restart(name: string, at: number): void {
+    const host = this.host(name);
+    host.kill();
+    this.end(at, () =>
+      this.starts.push(async () => {
+        if (!host.isRunning()) await host.start();
+      }),
+    );
+  }
+
+  private release(name: string, group: string): void {
+    const {clock, manager} = this.host(name);
+    if (!manager || !clock) return;
+    const deadline = clock.monotonicNow() + COMMAND_MILLISECONDS;
+    void manager.release([group], {deadline});
+  }
+
+  private leave(name: string): void {
+    const host = this.host(name);
+    if (!host.manager || this.left.has(name)) return;
+    this.left.add(name);
+    const deadline = host.clock!.monotonicNow() + COMMAND_MILLISECONDS;
+    void host.manager.releaseAll({deadline, isFinal: true});
+    this.end(this.world.now() + 2 * COMMAND_MILLISECONDS, () => host.kill());
+  }
+}
--- a/packages/ownership/src/authority_tracker.ts
+++ b/packages/ownership/src/authority_tracker.ts
@@ -54,6 +54,11 @@
     return Math.max(this.tailDeadline, this.majorityDeadline);
   }
 
+  /** End of authority by tail reads alone. */
+  tailUntil(): number {
+    return this.tailDeadline;
+  }
+
   /** End of authority by the answers of a majority alone. */
   majorityUntil(): number {
     return this.majorityDeadline;
--- a/packages/ownership/src/group_claiming.ts
+++ b/packages/ownership/src/group_claiming.ts
@@ -19,6 +19,8 @@
 export class GroupClaiming {
   private groups: readonly string[] = [];
   private readonly orphans = new Map<string, Orphan>();
+  /** Since when this host has been eligible without a break. */
+  private eligibleSince = Infinity;
 
   private constructor(
     private readonly context: OwnershipContext,
@@ -55,7 +57,12 @@
   }
 
   private groupsToClaim(): ClaimedGroup[] {
-    if (!this.candidates.isSelfEligible()) return [];
+    const {clock, settings} = this.context;
+    const now = clock.monotonicNow();
+    this.eligibleSince = this.candidates.isSelfEligible()
+      ? Math.min(this.eligibleSince, now)
+      : Infinity;
+    if (now < this.eligibleSince + settings.claimSettleMilliseconds) return [];
     const hosts = this.candidates.eligibleHosts();
     return this.groups.flatMap(group => this.toClaim(group, hosts));
   }
--- a/packages/ownership/src/group_rebalancing.ts
+++ b/packages/ownership/src/group_rebalancing.ts
@@ -24,7 +24,7 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, settings} = this.context;
+    const {clock, settings, tracker} = this.context;
     let nextBatchAt =
       clock.monotonicNow() + settings.rebalanceIntervalMilliseconds;
     while (!signal.aborted) {
@@ -36,6 +36,8 @@
       const now = clock.monotonicNow();
       if (signal.aborted || now < nextBatchAt) continue;
       nextBatchAt = now + settings.rebalanceIntervalMilliseconds;
+      // A group whose release can't be appended has no owner meanwhile.
+      if (tracker.tailUntil() <= now) continue;
       const deadline = now + settings.appendTimeoutMilliseconds;
       await this.release.retry(deadline);
       await this.releaseUnconfigured(deadline);
--- a/packages/ownership/src/ownership_manager.ts
+++ b/packages/ownership/src/ownership_manager.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Clock, RandomSource} from '@cardamomfield/clock';
 import type {TypedError} from '@cardamomfield/errors';
 import type {FollowedStream} from '@cardamomfield/log-follower';
@@ -107,13 +108,16 @@
 
   /** Runs all tasks until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    const ended = AbortSignal.any([signal]);
+    // One task per voter listens, which is more than Node's warning allows.
+    setMaxListeners(0, ended);
     await Promise.all([
-      this.extension.runTailReads(signal),
-      this.extension.runQuestions(signal),
-      this.announcer.run(signal),
-      this.claiming.run(signal),
-      this.rebalancing.run(signal),
-      this.membership.run(signal),
+      this.extension.runTailReads(ended),
+      this.extension.runQuestions(ended),
+      this.announcer.run(ended),
+      this.claiming.run(ended),
+      this.rebalancing.run(ended),
+      this.membership.run(ended),
     ]);
   }
 
--- a/packages/ownership/src/ownership_settings.ts
+++ b/packages/ownership/src/ownership_settings.ts
@@ -16,6 +16,11 @@
   voterRemovalMilliseconds: period(60_000),
   /** Each further host of a ranking waits this much longer before it claims. */
   claimStaggerMilliseconds: period(2_000),
+  /**
+   * A host claims only after it has been eligible for this long; two heartbeats
+   * then showed it which others are, or it would claim every group at start.
+   */
+  claimSettleMilliseconds: period(1_100),
   /** Longest time between two looks at the groups. */
   evaluationIntervalMilliseconds: period(250),
   callTimeoutMilliseconds: period(1_000),
