--- a/packages/fuzz/src/ownership_fuzz.test.ts
+++ b/packages/fuzz/src/ownership_fuzz.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {runOwnershipFuzz} from './ownership_fuzz.js';
-import {runUnheardClaim} from './unheard_claim.js';
-import {WEAKENED_OWNERSHIP} from './weakened_ownership.js';
+import {runUnheardClaim} from './ownership/unheard_claim.js';
+import {WEAKENED_OWNERSHIP} from './ownership/weakened_ownership.js';
 
 type UnheardClaimOptions = Parameters<typeof runUnheardClaim>[0];
 type Scenario = Pick<UnheardClaimOptions, 'before' | 'after'>;
--- a/packages/fuzz/src/ownership_fuzz.ts
+++ b/packages/fuzz/src/ownership_fuzz.ts
@@ -1,5 +1,5 @@
-import type {OwnershipFault} from './ownership_fault.js';
-import {OwnershipFuzzCase} from './ownership_fuzz_case.js';
+import type {OwnershipFault} from './ownership/ownership_fault.js';
+import {OwnershipFuzzCase} from './ownership/ownership_fuzz_case.js';
 
 interface OwnershipFuzzOptions {
   /** First seed; the runs take the ones that follow. */
--- a/packages/fuzz/src/simulated_host.ts
+++ b/packages/fuzz/src/simulated_host.ts
@@ -1,117 +1,171 @@
-import {SeededRandomSource} from '@cardamomfield/clock';
-import type {FollowedStream} from '@cardamomfield/log-follower';
+import {
+  type Clock,
+  type ManualClock,
+  SeededRandomSource,
+} from '@cardamomfield/clock';
+import {EntryParts, TOKENS} from '@cardamomfield/entry-host';
 import {SilentLogger} from '@cardamomfield/logger';
 import {MemoryMetrics} from '@cardamomfield/metrics';
+import {SelfCallingNetwork} from '@cardamomfield/peer-protocol';
+import type {MemoryPeerHub} from '@cardamomfield/peers';
+import type {WorkerConnector} from '@cardamomfield/platform';
 import {
-  OwnershipFold,
-  OwnershipManager,
-  type OwnershipSettings,
-  type OwnershipState,
-} from '@cardamomfield/ownership';
-import type {PeerNetwork} from '@cardamomfield/peer-protocol';
+  type FaultGate,
+  type HostListService,
+  type LogService,
+  MemoryHostList,
+  MemoryPlatformLog,
+  MemoryWorker,
+  type WorkerService,
+} from '@cardamomfield/platform-stand-ins';
+import {EntrySettings} from '@cardamomfield/settings';
 import {Timeline} from '@cardamomfield/timeline';
-import {SimulatedClock} from './simulated_clock.js';
-import type {SimulatedLife} from './simulated_life.js';
-import type {SimulatedLinks} from './simulated_links.js';
-import type {SimulatedLog} from './simulated_log.js';
-import {SimulatedLogClient} from './simulated_log_client.js';
-import {SimulatedNetwork} from './simulated_network.js';
-import {SimulatedStream} from './simulated_stream.js';
-import type {SimulatedWorld} from './simulated_world.js';
+import {container} from 'tsyringe';
+import {HostGate} from './host_gate.js';
 
 interface SimulatedHostOptions {
-  world: SimulatedWorld;
-  log: SimulatedLog;
-  links: SimulatedLinks;
   name: string;
-  groups: readonly string[];
-  settings: Partial<OwnershipSettings>;
-  /** Replaces the stream; for faulty collaborators. */
-  wrapStream: (
-    stream: FollowedStream<OwnershipState>,
-    clock: SimulatedClock,
-  ) => FollowedStream<OwnershipState>;
-  /** Replaces the network; for faulty collaborators. */
-  wrapNetwork: (network: PeerNetwork, clock: SimulatedClock) => PeerNetwork;
+  incarnation: string;
+  region: string;
+  seed: number;
+  /** Offset of this host's wall clock in milliseconds. */
+  wallOffset: number;
+  clock: ManualClock;
+  hub: MemoryPeerHub;
+  log: LogService;
+  hostList: HostListService;
+  workers: ReadonlyMap<string, WorkerService>;
 }
 
-/** Largest deviation of a clock's rate. */
-const MAXIMUM_DRIFT = 0.01;
-
-/** One host on which processes run one after the other. */
+/** One incarnation of one entry host over in-memory fakes. */
 export class SimulatedHost {
-  readonly name: string;
-  manager: OwnershipManager | undefined;
-  stream: FollowedStream<OwnershipState> | undefined;
-  clock: SimulatedClock | undefined;
-  private life: SimulatedLife = {isEnded: true, pausedUntil: 0};
-  private incarnation = 0;
-  private readonly rate: number;
+  private readonly controller = new AbortController();
+
+  private constructor(
+    readonly name: string,
+    readonly parts: EntryParts,
+    readonly metrics: MemoryMetrics,
+    private readonly hub: MemoryPeerHub,
+    private readonly gate: HostGate,
+    private readonly links: Map<string, FaultGate>,
+  ) {}
+
+  /** Starts the host. */
+  static async create(options: SimulatedHostOptions): Promise<SimulatedHost> {
+    const gate = HostGate.create();
+    const links = new Map<string, FaultGate>();
+    const metrics = MemoryMetrics.create();
+    const parts = await createParts(options, gate, links, metrics);
+    const {name, hub} = options;
+    const host = new SimulatedHost(name, parts, metrics, hub, gate, links);
+    void parts.run(host.controller.signal);
+    return host;
+  }
 
-  private constructor(private readonly options: SimulatedHostOptions) {
-    this.name = options.name;
-    this.rate = 1 + MAXIMUM_DRIFT * (2 * options.world.random.fraction() - 1);
+  /** Aborts once the host is dead. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
   }
 
-  static create(options: SimulatedHostOptions): SimulatedHost {
-    return new SimulatedHost(options);
+  /** Ends the process at once; what is in sockets may still arrive. */
+  kill(): void {
+    this.controller.abort();
+    this.gate.pause();
+    for (const faults of this.links.values()) faults.set({silent: true});
+    this.hub.kill(this.name);
   }
 
-  isRunning(): boolean {
-    return !this.life.isEnded;
+  pause(): void {
+    this.gate.pause();
+    this.hub.pause(this.name);
   }
 
-  /** Starts a new process. */
-  async start(): Promise<void> {
-    const {groups, links, log, name, settings, world} = this.options;
-    const life = {isEnded: false, pausedUntil: 0};
-    const incarnation = `${name}-${++this.incarnation}`;
-    const clock = SimulatedClock.create(world, life, this.rate);
-    const client = SimulatedLogClient.create({
-      world,
-      log,
-      host: name,
-      life,
-      clock,
-    });
-    const fold = OwnershipFold.create();
-    const followed = SimulatedStream.create({clock, fold, log: client});
-    const network = SimulatedNetwork.create({
-      world,
-      links,
-      self: name,
-      incarnation,
-      life,
-      clock,
-    });
-    const stream = this.options.wrapStream(followed, clock);
-    const manager = await OwnershipManager.create({
-      process: name,
-      incarnation,
-      clock,
-      random: SeededRandomSource.create(this.incarnation),
-      logger: SilentLogger.create(),
-      metrics: MemoryMetrics.create(),
-      timeline: Timeline.create({process: name, clock, capacity: 100}),
-      stream,
-      network: this.options.wrapNetwork(network, clock),
-      settings,
-    });
-    manager.setGroups(groups);
-    Object.assign(this, {life, manager, stream: followed, clock});
-    const neverAborted = new AbortController().signal;
-    void followed.run();
-    void network.run();
-    void manager.run(neverAborted);
+  resume(): void {
+    this.gate.resume();
+    this.hub.resume(this.name);
   }
 
-  /** Ends the process without any notice. */
-  kill(): void {
-    this.life.isEnded = true;
-    this.manager = undefined;
+  /** Cuts the host off from the log, or ends the cut. */
+  cutFromLog(isCut: boolean): void {
+    this.links.get('log')?.set({silent: isCut});
+  }
+
+  /** Cuts the host off from one worker, or ends the cut. */
+  cutFromWorker(worker: string, isCut: boolean): void {
+    this.links.get(`worker ${worker}`)?.set({silent: isCut});
+  }
+
+  /** Holds commands to a worker back, as in a socket buffer. */
+  holdCommands(worker: string, isHeld: boolean): void {
+    this.links.get(`worker ${worker}`)?.set({holdWrites: isHeld});
   }
+}
 
-  pause(until: number): void {
-    this.life.pausedUntil = Math.max(this.life.pausedUntil, until);
+async function createParts(
+  options: SimulatedHostOptions,
+  gate: HostGate,
+  links: Map<string, FaultGate>,
+  metrics: MemoryMetrics,
+): Promise<EntryParts> {
+  const {name, incarnation} = options;
+  const clock = gate.wrapClock(options.clock, options.wallOffset);
+  const timeline = Timeline.create({process: name, clock});
+  const network = options.hub.join({name, incarnation, clock, timeline});
+  const log = MemoryPlatformLog.create({
+    clock: options.clock,
+    service: options.log,
+  });
+  const hostList = MemoryHostList.create({
+    clock: options.clock,
+    service: options.hostList,
+  });
+  links.set('log', log.faults);
+  links.set('host-list', hostList.faults);
+  const parts = container.createChildContainer();
+  const values = {
+    settings: createSettings(options),
+    incarnation,
+    clock,
+    random: SeededRandomSource.create(options.seed),
+    logger: SilentLogger.create(),
+    metrics,
+    timeline,
+    platformLog: gate.wrap(log),
+    hostList: gate.wrap(hostList),
+    workerConnector: createConnector(options, gate, links),
+    network: SelfCallingNetwork.create(network, incarnation),
+  };
+  for (const [part, useValue] of Object.entries(values)) {
+    parts.register(TOKENS[part as keyof typeof values], {useValue});
   }
+  return EntryParts.create(parts);
+}
+
+function createSettings(options: SimulatedHostOptions): EntrySettings {
+  return EntrySettings.parse({
+    processName: options.name,
+    region: options.region,
+    availabilityZone: `${options.region}-1`,
+    logServiceUrl: 'http://127.0.0.1:1',
+    hostListUrl: 'http://127.0.0.1:1',
+  });
+}
+
+function createConnector(
+  options: SimulatedHostOptions,
+  gate: HostGate,
+  links: Map<string, FaultGate>,
+): WorkerConnector {
+  const clients = new Map<string, MemoryWorker>();
+  return {
+    connect: worker => {
+      const service = options.workers.get(worker.name);
+      const known = clients.get(worker.name);
+      const client =
+        known ?? MemoryWorker.create({clock: options.clock, service: service!});
+      clients.set(worker.name, client);
+      links.set(`worker ${worker.name}`, client.faults);
+      return gate.wrap(client);
+    },
+  };
 }
--- /dev/null
+++ b/packages/group-owner/src/owner_context.ts
@@ -0,0 +1,29 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {Notifier} from '@cardamomfield/clock';
+import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
+import type {PeerNetwork} from '@cardamomfield/peer-protocol';
+import type {OwnerScheduler} from '@cardamomfield/placement';
+import type {Timeline} from '@cardamomfield/timeline';
+import type {GroupAuthorityView} from './group_authority_view.js';
+import type {GroupOwnerSettings} from './group_owner_settings.js';
+import type {HealthView} from './health_view.js';
+import type {TaskBook} from './task_book.js';
+import type {UpdateSender} from './update_sender.js';
+
+/** What the parts of an owner share. */
+export interface OwnerContext {
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  timeline: Timeline;
+  network: PeerNetwork;
+  scheduler: OwnerScheduler;
+  ownership: GroupAuthorityView;
+  health: HealthView;
+  settings: GroupOwnerSettings;
+  book: TaskBook;
+  updates: UpdateSender;
+  /** Notified when the scheduler may have something to decide. */
+  work: Notifier;
+}
--- /dev/null
+++ b/packages/group-owner/src/worker_session.ts
@@ -0,0 +1,131 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {WorkerClient, WorkerSnapshot} from '@cardamomfield/platform';
+import type {Worker} from '@cardamomfield/types';
+import type {GroupOwnerSettings} from './group_owner_settings.js';
+
+interface WorkerSessionOptions {
+  worker: Worker;
+  client: WorkerClient;
+  clock: Clock;
+  settings: GroupOwnerSettings;
+  /**
+   * Takes news in. `isFull` says that all tasks of the worker are listed;
+   * `sentAt` is the monotonic instant at which the read was sent.
+   */
+  onSnapshot: (
+    session: WorkerSession,
+    snapshot: WorkerSnapshot,
+    read: {isFull: boolean; sentAt: number},
+  ) => void;
+  /** Called when the worker stops or starts to answer. */
+  onReachability: (session: WorkerSession) => void;
+}
+
+/** The owner's task for one worker: follows the worker's list of tasks. */
+export class WorkerSession {
+  /** Whether the latest read succeeded; false before the first. */
+  isReadable = false;
+  incarnation: string | undefined;
+
+  private sequence = 0;
+  private isFullReadWanted = true;
+  private readonly controller = new AbortController();
+  private watchController = new AbortController();
+
+  private constructor(private readonly options: WorkerSessionOptions) {}
+
+  static create(options: WorkerSessionOptions): WorkerSession {
+    return new WorkerSession(options);
+  }
+
+  get worker(): Worker {
+    return this.options.worker;
+  }
+
+  get client(): WorkerClient {
+    return this.options.client;
+  }
+
+  /** Makes the next read list all tasks, at once. */
+  requestFullRead(): void {
+    this.isFullReadWanted = true;
+    this.watchController.abort();
+  }
+
+  close(): void {
+    this.controller.abort();
+    this.watchController.abort();
+  }
+
+  isClosed(): boolean {
+    return this.controller.signal.aborted;
+  }
+
+  /** Follows the worker until the session is closed. */
+  async run(): Promise<void> {
+    const {clock, settings} = this.options;
+    while (!this.isClosed()) {
+      const isRead = await this.read();
+      if (isRead || this.isClosed()) continue;
+      this.setReadable(false);
+      const deadline = clock.monotonicNow() + settings.watchRetryMilliseconds;
+      await clock.sleepUntil(deadline, this.controller.signal);
+    }
+  }
+
+  private async read(): Promise<boolean> {
+    const {clock, client, settings} = this.options;
+    const isFull = this.isFullReadWanted || !this.isReadable;
+    this.isFullReadWanted = false;
+    this.watchController = new AbortController();
+    const sentAt = clock.monotonicNow();
+    const waitUntil = isFull ? sentAt : sentAt + settings.watchMilliseconds;
+    const after = {
+      incarnation: this.incarnation ?? '',
+      sequence: this.sequence,
+    };
+    const answer = await Promise.race([
+      client.watch({
+        ...(isFull ? {} : {after}),
+        waitUntil,
+        deadline: waitUntil + settings.commandMilliseconds,
+      }),
+      aborted(this.watchController.signal),
+    ]);
+    if (this.isClosed()) return false;
+    // A full read that was cut short or failed is still owed.
+    if (!answer || answer.isLeft()) this.isFullReadWanted ||= isFull;
+    if (!answer) return true;
+    return answer.caseOf({
+      Left: () => false,
+      Right: snapshot => {
+        this.take(snapshot, isFull, sentAt);
+        return true;
+      },
+    });
+  }
+
+  private take(
+    snapshot: WorkerSnapshot,
+    wasFull: boolean,
+    sentAt: number,
+  ): void {
+    const isFull = wasFull || snapshot.incarnation !== this.incarnation;
+    this.incarnation = snapshot.incarnation;
+    this.sequence = snapshot.sequence;
+    this.options.onSnapshot(this, snapshot, {isFull, sentAt});
+    this.setReadable(true);
+  }
+
+  private setReadable(isReadable: boolean): void {
+    if (this.isReadable === isReadable) return;
+    this.isReadable = isReadable;
+    this.options.onReachability(this);
+  }
+}
+
+function aborted(signal: AbortSignal): Promise<undefined> {
+  return new Promise(resolve =>
+    signal.addEventListener('abort', () => resolve(undefined), {once: true}),
+  );
+}
--- /dev/null
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -0,0 +1,210 @@
+import type {
+  WorkerClient,
+  WorkerConnector,
+  WorkerSnapshot,
+} from '@cardamomfield/platform';
+import type {ConfigurationState, Rack, Worker} from '@cardamomfield/types';
+import {groupWorkersByRack} from './group_workers_by_rack.js';
+import type {OwnerContext} from './owner_context.js';
+import {WorkerSession} from './worker_session.js';
+
+interface WorkerSessionsOptions {
+  context: OwnerContext;
+  connector: WorkerConnector;
+  onSnapshot: (
+    session: WorkerSession,
+    snapshot: WorkerSnapshot,
+    read: {isFull: boolean; sentAt: number},
+  ) => void;
+}
+
+/** A worker that was read under the present epoch of its group. */
+interface Opening {
+  epoch: number;
+}
+
+/** The workers of all groups that this process owns. */
+export class WorkerSessions {
+  /** Only names the type of the clients. */
+  declare readonly clientType: WorkerClient;
+
+  private readonly sessions = new Map<string, WorkerSession>();
+  private readonly openings = new Map<string, Opening>();
+  private leaving: ReadonlySet<string> = new Set();
+  private configuration: ConfigurationState | undefined;
+  private workersByRack: ReadonlyMap<string, readonly Worker[]> = new Map();
+  private readonly groups = new Map<string, number>();
+
+  private constructor(private readonly options: WorkerSessionsOptions) {}
+
+  static create(options: WorkerSessionsOptions): WorkerSessions {
+    return new WorkerSessions(options);
+  }
+
+  find(worker: string): WorkerSession | undefined {
+    return this.sessions.get(worker);
+  }
+
+  all(): Iterable<WorkerSession> {
+    return this.sessions.values();
+  }
+
+  /** Whether any worker here runs tasks of the service. */
+  serves(service: string): boolean {
+    for (const {worker} of this.sessions.values()) {
+      if (worker.services.includes(service)) return true;
+    }
+    return false;
+  }
+
+  /** Groups whose workers were all read under the present epoch. */
+  readGroups(): ReadonlyMap<string, number> {
+    const read = new Map<string, number>();
+    for (const [group, epoch] of this.groups) {
+      const workers = this.workersOf(group);
+      const isRead = workers.every(
+        worker => this.openings.get(worker.name)?.epoch === epoch,
+      );
+      if (isRead) read.set(group, epoch);
+    }
+    return read;
+  }
+
+  /** Sets the inventory; sessions follow it. */
+  setConfiguration(configuration: ConfigurationState): void {
+    this.configuration = configuration;
+    this.workersByRack = groupWorkersByRack(configuration);
+    this.synchronise();
+  }
+
+  /** Sets the hosts that the platform shows as leaving. */
+  setLeaving(leaving: ReadonlySet<string>): void {
+    this.leaving = leaving;
+    this.refresh();
+  }
+
+  isLeaving(worker: Worker): boolean {
+    return worker.state === 'leaving' || this.leaving.has(worker.name);
+  }
+
+  /** Begins to serve the workers of a group. */
+  gain(group: string, epoch: number): void {
+    this.groups.set(group, epoch);
+    for (const worker of this.workersOf(group)) {
+      this.sessions.get(worker.name)?.requestFullRead();
+    }
+    this.synchronise();
+  }
+
+  /** Ends the sessions of a group's workers. */
+  lose(group: string): void {
+    this.groups.delete(group);
+    this.synchronise();
+  }
+
+  /** Notes a full read; the worker may be used under the epoch from now on. */
+  open(session: WorkerSession): void {
+    const epoch = this.groups.get(session.worker.rack);
+    if (epoch === undefined) return;
+    this.openings.set(session.worker.name, {epoch});
+    this.refreshWorker(session);
+  }
+
+  /** Tells the scheduler which workers may be used, and how much. */
+  refresh(): void {
+    for (const session of this.sessions.values()) this.refreshWorker(session);
+    this.options.context.work.notify();
+  }
+
+  /** Ends all sessions. */
+  close(): void {
+    for (const session of this.sessions.values()) session.close();
+    this.sessions.clear();
+  }
+
+  rackOf(worker: Worker): Rack | undefined {
+    return this.configuration?.racks[worker.rack];
+  }
+
+  private workersOf(group: string): readonly Worker[] {
+    return this.workersByRack.get(group) ?? [];
+  }
+
+  private synchronise(): void {
+    for (const [name, session] of this.sessions) {
+      const worker = this.configuration?.workers[name];
+      const isWanted =
+        worker !== undefined &&
+        worker.address === session.worker.address &&
+        worker.rack === session.worker.rack &&
+        this.groups.has(worker.rack);
+      if (!isWanted) this.endSession(name, session);
+    }
+    for (const group of this.groups.keys()) {
+      for (const worker of this.workersOf(group)) {
+        if (!this.sessions.has(worker.name)) this.begin(worker);
+      }
+    }
+    this.refresh();
+  }
+
+  private begin(worker: Worker): void {
+    const {context, connector, onSnapshot} = this.options;
+    const session = WorkerSession.create({
+      worker,
+      client: connector.connect(worker),
+      clock: context.clock,
+      settings: context.settings,
+      onSnapshot,
+      onReachability: each => {
+        context.timeline.record(
+          each.isReadable ? 'worker.reachable' : 'worker.unreachable',
+          {worker: each.worker.name},
+        );
+        this.refreshWorker(each);
+        context.work.notify();
+      },
+    });
+    this.sessions.set(worker.name, session);
+    void session.run();
+  }
+
+  private endSession(name: string, session: WorkerSession): void {
+    session.close();
+    this.sessions.delete(name);
+    this.openings.delete(name);
+    this.options.context.scheduler.removeWorker(name);
+  }
+
+  private refreshWorker(session: WorkerSession): void {
+    if (session.isClosed()) return;
+    const {scheduler} = this.options.context;
+    // The inventory may have changed the worker since the session began.
+    const worker =
+      this.configuration?.workers[session.worker.name] ?? session.worker;
+    const rack = this.rackOf(worker);
+    if (!rack) return;
+    scheduler.setWorker({
+      name: worker.name,
+      group: worker.rack,
+      region: rack.region,
+      availabilityZone: rack.availabilityZone,
+      services: worker.services,
+      capacity: worker.capacity,
+      state: this.isLeaving(worker) ? 'leaving' : 'active',
+      weight: this.weightOf(worker, session),
+    });
+  }
+
+  private weightOf(worker: Worker, session: WorkerSession): number {
+    const {ownership, health} = this.options.context;
+    const authority = ownership.authority(worker.rack);
+    const opening = this.openings.get(worker.name);
+    const isUsable =
+      session.isReadable &&
+      authority !== undefined &&
+      authority.isHeld() &&
+      opening?.epoch === authority.epoch;
+    return isUsable ? health.weight(worker.name) : 0;
+  }
+}
--- /dev/null
+++ b/packages/requests/src/request_coordinator.ts
@@ -0,0 +1,465 @@
+import type {Clock} from '@cardamomfield/clock';
+import {
+  ConflictError,
+  NotFoundError,
+  type TypedError,
+  UnavailableError,
+} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
+import {
+  type KeyRegistration,
+  LIST_KEYS,
+  PERMIT_DISPATCH,
+  type PeerNetwork,
+  type RequestState,
+  type RequestView,
+  SHOW_REQUEST,
+  STOP_REQUEST,
+  type TaskUpdate,
+  UPDATE_TASKS,
+} from '@cardamomfield/peer-protocol';
+import type {Timeline} from '@cardamomfield/timeline';
+import type {FinalAnswer, Submission} from '@cardamomfield/types';
+import {type Either, Left, Right} from 'purify-ts';
+import {hashBody} from './hash_body.js';
+import type {IntentJournal} from './intent_journal.js';
+import {KeyClaims} from './key_claims.js';
+import type {KeyRegistrarClient} from './key_registrar_client.js';
+import {OrphanLookup} from './orphan_lookup.js';
+import type {OwnerChooser} from './owner_chooser.js';
+import {RemoteRequests} from './remote_requests.js';
+import {RequestBackups} from './request_backups.js';
+import {RequestRecord} from './request_record.js';
+import {RequestRun} from './request_run.js';
+import {RequestStore} from './request_store.js';
+import type {SubmissionChecker} from './submission_checker.js';
+import type {TaskFinder} from './task_finder.js';
+import type {TaskRecord} from './task_record.js';
+import {TaskRun} from './task_run.js';
+
+/** Period of the check for owners that went away. */
+const WATCH_PERIOD_MILLISECONDS = 250;
+
+/** Time to register the key of a request that is taken over. */
+const ADOPT_MILLISECONDS = 10_000;
+
+interface RequestCoordinatorOptions {
+  self: string;
+  incarnation: string;
+  network: PeerNetwork;
+  clock: Clock;
+  logger: Logger;
+  metrics: Metrics;
+  timeline: Timeline;
+  journal: IntentJournal;
+  registrar: KeyRegistrarClient;
+  chooser: OwnerChooser;
+  finder: TaskFinder;
+  checker: SubmissionChecker;
+  spendRetry: () => boolean;
+  /** Orphan registrations and read groups of this process as an owner. */
+  listOrphans: (partition: string) => {
+    registrations: KeyRegistration[];
+    groups: string[];
+  };
+}
+
+interface WaitOptions {
+  afterRevision?: number | undefined;
+  /** Wall-clock instant until which the call may wait for news. */
+  waitUntil?: number | undefined;
+}
+
+/** Takes requests in and knows the truth about each that it runs. */
+export class RequestCoordinator {
+  private readonly store: RequestStore;
+  private readonly claims: KeyClaims;
+  private readonly remote: RemoteRequests;
+  private readonly orphans: OrphanLookup;
+  private readonly backups: RequestBackups;
+  private generatedKeys = 0;
+  private isClosed = false;
+
+  private constructor(private readonly options: RequestCoordinatorOptions) {
+    this.claims = KeyClaims.create(options);
+    this.store = RequestStore.create({
+      ...options,
+      onDrop: key => this.claims.forget(key),
+    });
+    this.remote = RemoteRequests.create(options);
+    this.orphans = OrphanLookup.create(options);
+    this.backups = RequestBackups.create({
+      ...options,
+      incarnationOf: peer => options.chooser.incarnationOf(peer),
+      adopt: (state, replaces) => this.adopt(state, replaces),
+    });
+  }
+
+  static create(options: RequestCoordinatorOptions): RequestCoordinator {
+    const coordinator = new RequestCoordinator(options);
+    coordinator.registerHandlers();
+    return coordinator;
+  }
+
+  /** Watches for owners and coordinators that go away. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.watchOwners(signal), this.backups.run(signal)]);
+  }
+
+  /** A key that no other request has. */
+  generateKey(): string {
+    const {self, incarnation} = this.options;
+    this.generatedKeys += 1;
+    return `${self}.${incarnation}.${this.generatedKeys}`;
+  }
+
+  /** Requests that have no answer yet. */
+  countUnfinished(): number {
+    return this.store.countUnfinished();
+  }
+
+  /** Refuses new requests from now on; those under way go on. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /** Hands long requests to peers; the others are left to finish here. */
+  async handOver(): Promise<void> {
+    const wanted = this.store.unfinished().filter(RequestBackups.isWanted);
+    await Promise.all(wanted.map(record => this.handOverOne(record)));
+  }
+
+  /**
+   * Accepts a request and returns its first state. A key that is known gets
+   * the state of the earlier request, wherever it runs.
+   */
+  async submit(
+    submission: Submission,
+    isKeyChosen: boolean,
+  ): Promise<Either<TypedError, RequestView>> {
+    if (this.isClosed) {
+      return Left(UnavailableError.create('this entry host is shutting down'));
+    }
+    const bodyHash = hashBody(submission);
+    const known = this.store.find(submission.key);
+    if (known) return this.repeat(known, bodyHash);
+    const checked = this.options.checker.check(submission);
+    if (checked.isLeft()) return Left(checked.extract() as TypedError);
+    const refusal = checked.extract() as FinalAnswer | undefined;
+    const {self, clock} = this.options;
+    const record = RequestRecord.create({
+      submission,
+      bodyHash,
+      coordinator: self,
+      clock,
+    });
+    const isRegistered = isKeyChosen || RequestBackups.isWanted(record);
+    if (!isRegistered) return Right(this.start(record, refusal));
+    return this.registerAndStart(record, refusal);
+  }
+
+  /** The state of a request, wherever it runs. */
+  async show(
+    key: string,
+    wait: WaitOptions = {},
+  ): Promise<Either<TypedError, RequestView>> {
+    const known = this.store.find(key);
+    if (known) {
+      const view = await this.showLocal(known, wait);
+      if (!known.isHandedOver) return Right(view);
+    }
+    const remote = await this.remote.show(key, wait);
+    if (remote) return Right(remote.view);
+    return this.orphans.show(key);
+  }
+
+  /** Stops a request, wherever it runs. Idempotent. */
+  async cancel(key: string): Promise<Either<TypedError, RequestView>> {
+    const known = this.store.find(key);
+    if (known && !known.isHandedOver) return Right(this.cancelLocal(known));
+    const remote = await this.remote.cancel(key);
+    if (remote) return Right(remote);
+    return Left(NotFoundError.create(`no entry host runs request ${key}`));
+  }
+
+  private registerHandlers(): void {
+    const {network, listOrphans} = this.options;
+    network.handle(UPDATE_TASKS, async (peer, {updates}) => {
+      updates.forEach(update => this.takeUpdate(peer, update));
+      return Right({});
+    });
+    network.handle(PERMIT_DISPATCH, async (_peer, {task}) =>
+      Right({permitted: this.permitDispatch(task)}),
+    );
+    network.handle(SHOW_REQUEST, async (_peer, {key, ...wait}) => {
+      const record = this.findOwn(key);
+      if (!record) return Right({view: null, bodyHash: ''});
+      const view = await this.showLocal(record, wait);
+      return Right({view, bodyHash: record.bodyHash});
+    });
+    network.handle(STOP_REQUEST, async (_peer, {key}) => {
+      const record = this.findOwn(key);
+      return Right({view: record ? this.cancelLocal(record) : null});
+    });
+    network.handle(LIST_KEYS, async (_peer, {partition}) => {
+      const orphans = listOrphans(partition);
+      const registrations = this.claims.list(partition);
+      return Right({
+        registrations: [...registrations, ...orphans.registrations],
+        groups: orphans.groups,
+      });
+    });
+  }
+
+  private findOwn(key: string): RequestRecord | undefined {
+    const record = this.store.find(key);
+    return record?.isHandedOver ? undefined : record;
+  }
+
+  private repeat(
+    known: RequestRecord,
+    bodyHash: string,
+  ): Either<TypedError, RequestView> {
+    if (known.bodyHash === bodyHash) return Right(known.view());
+    return Left(conflict(known.key));
+  }
+
+  /** Asks the registrar first: the key may run on another entry host. */
+  private async registerAndStart(
+    record: RequestRecord,
+    refusal: FinalAnswer | undefined,
+  ): Promise<Either<TypedError, RequestView>> {
+    const {clock} = this.options;
+    const remaining = record.submission.deadline - clock.wallNow();
+    const deadline = clock.monotonicNow() + remaining;
+    this.store.add(record);
+    const registered = await this.claims.register(record, deadline);
+    if (registered.isLeft()) {
+      this.store.remove(record);
+      return Left(registered.extract() as TypedError);
+    }
+    const winner = registered.extract() as KeyRegistration;
+    if (this.claims.isOwn(winner)) return Right(this.start(record, refusal));
+    this.store.remove(record);
+    const isSame =
+      winner.bodyHash === record.bodyHash || winner.bodyHash === '';
+    if (!isSame) return Left(conflict(record.key));
+    return this.followWinner(record, winner, refusal);
+  }
+
+  private async followWinner(
+    record: RequestRecord,
+    winner: KeyRegistration,
+    refusal: FinalAnswer | undefined,
+  ): Promise<Either<TypedError, RequestView>> {
+    const remote = await this.remote.show(record.key, {});
+    if (remote) return Right(remote.view);
+    const orphan = await this.orphans.show(record.key);
+    if (orphan.isRight()) return orphan;
+    const isAbsent = orphan.extract() instanceof NotFoundError;
+    if (!isAbsent || !record.submission.idempotent) return orphan;
+    return this.replaceWinner(record, winner, refusal);
+  }
+
+  /** Takes over a key whose coordinator is dead and left nothing live. */
+  private async replaceWinner(
+    record: RequestRecord,
+    dead: KeyRegistration,
+    refusal: FinalAnswer | undefined,
+  ): Promise<Either<TypedError, RequestView>> {
+    if (this.isLive(dead)) {
+      const message = `the coordinator of ${record.key} does not answer`;
+      return Left(UnavailableError.create(message));
+    }
+    const isWon = await this.claimFrom(record, dead.coordinatorIncarnation);
+    if (isWon) return Right(this.start(record, refusal));
+    const message = `another entry host takes over ${record.key}`;
+    return Left(UnavailableError.create(message));
+  }
+
+  /** Registers a request in place of a dead incarnation's registration. */
+  private async claimFrom(
+    record: RequestRecord,
+    incarnation: string,
+  ): Promise<boolean> {
+    const {clock} = this.options;
+    const deadline = clock.monotonicNow() + ADOPT_MILLISECONDS;
+    this.store.add(record);
+    const registered = await this.claims.register(
+      record,
+      deadline,
+      incarnation,
+    );
+    const winner = registered.toMaybe().extract();
+    if (winner && this.claims.isOwn(winner)) return true;
+    this.store.remove(record);
+    return false;
+  }
+
+  private isLive(registration: KeyRegistration): boolean {
+    const {network, chooser} = this.options;
+    const {coordinator, coordinatorIncarnation} = registration;
+    if (!network.livePeers().includes(coordinator)) return false;
+    return chooser.incarnationOf(coordinator) === coordinatorIncarnation;
+  }
+
+  /** Goes on with a request of another coordinator. */
+  private async adopt(state: RequestState, replaces: string): Promise<boolean> {
+    const {key} = state.submission;
+    if (this.findOwn(key)) return true;
+    const {self, clock} = this.options;
+    const place = {coordinator: self, clock};
+    const record = RequestRecord.fromState(state, place);
+    const isWon = await this.claimFrom(record, replaces);
+    if (!isWon) return (await this.remote.show(key, {})) !== undefined;
+    this.options.timeline.record('request.adopted', {key});
+    this.start(record, undefined);
+    return true;
+  }
+
+  private async handOverOne(record: RequestRecord): Promise<void> {
+    const {incarnation, timeline} = this.options;
+    const isTaken = await this.backups.handOver(record, incarnation);
+    if (!isTaken) return;
+    timeline.record('request.handed-over', {key: record.key});
+    this.store.remove(record);
+  }
+
+  private start(
+    record: RequestRecord,
+    refusal: FinalAnswer | undefined,
+  ): RequestView {
+    const {team, service, kind} = record.submission;
+    this.store.add(record);
+    this.options.timeline.record('request.accepted', {
+      key: record.key,
+      team,
+      service,
+      kind,
+    });
+    if (refusal) {
+      record.answer = refusal;
+      this.finish(record);
+    } else {
+      void this.runToEnd(record);
+    }
+    return record.view();
+  }
+
+  private async runToEnd(record: RequestRecord): Promise<void> {
+    const run = RequestRun.create(record, {
+      ...this.options,
+      runTask: (request, task) => this.createTaskRun(request, task).run(),
+    });
+    if (RequestBackups.isWanted(record)) void this.backups.keep(record);
+    await run.run();
+    if (record.isHandedOver) this.store.remove(record);
+    else this.finish(record);
+  }
+
+  private createTaskRun(record: RequestRecord, task: TaskRecord): TaskRun {
+    return TaskRun.create(record, task, {
+      ...this.options,
+      confirmRegistration: () =>
+        this.claims.confirm(record, task.attempt === 0),
+    });
+  }
+
+  private finish(record: RequestRecord): void {
+    const {metrics, timeline} = this.options;
+    const outcome = record.answer?.outcome ?? 'unknown';
+    metrics.increment('requests.finished', 1, {outcome});
+    timeline.record('request.finished', {key: record.key, outcome});
+    this.store.finish(record);
+  }
+
+  private takeUpdate(
+    owner: {name: string; incarnation: string},
+    update: TaskUpdate,
+  ): void {
+    const record = this.findOwn(update.task.key);
+    const task = record?.tasks[update.task.index];
+    if (!record || !task?.apply(update)) {
+      this.options.metrics.increment('requests.updates.dropped');
+      return;
+    }
+    // A group may have changed hands since the task was placed.
+    if (update.stage === 'running') task.owner = owner;
+    this.options.timeline.record(`task.${update.stage}`, {
+      key: update.task.key,
+      index: update.task.index,
+      attempt: update.task.attempt,
+      epoch: update.epoch,
+      ...('worker' in update ? {worker: update.worker} : {}),
+    });
+    record.changed();
+  }
+
+  private permitDispatch(identity: TaskUpdate['task']): boolean {
+    const record = this.findOwn(identity.key);
+    const task = record?.tasks[identity.index];
+    if (!record || !task || task.attempt !== identity.attempt) return false;
+    const isRefused =
+      record.isCancelled || task.isDispatchRevoked || task.hasEnded();
+    if (isRefused) return false;
+    task.isDispatchPermitted = true;
+    return true;
+  }
+
+  private async showLocal(
+    record: RequestRecord,
+    wait: WaitOptions,
+  ): Promise<RequestView> {
+    const {clock} = this.options;
+    const remaining = (wait.waitUntil ?? 0) - clock.wallNow();
+    const deadline = clock.monotonicNow() + remaining;
+    for (;;) {
+      const view = record.view();
+      const isNews = view.revision > (wait.afterRevision ?? -1);
+      if (isNews || view.answer || record.isHandedOver) return view;
+      if (clock.monotonicNow() >= deadline) return view;
+      await record.waitForChange(deadline);
+    }
+  }
+
+  private cancelLocal(record: RequestRecord): RequestView {
+    if (!record.isCancelled && !record.answer) {
+      record.isCancelled = true;
+      this.options.timeline.record('request.cancelled', {key: record.key});
+      record.changed();
+    }
+    return record.view();
+  }
+
+  /** Wakes the requests whenever an owner has come, gone or restarted. */
+  private async watchOwners(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    let seen = '';
+    while (!signal.aborted) {
+      const now = this.describeOwners();
+      if (now !== seen) {
+        this.store.unfinished().forEach(record => record.changed());
+      }
+      seen = now;
+      const deadline = clock.monotonicNow() + WATCH_PERIOD_MILLISECONDS;
+      await clock.sleepUntil(deadline, signal);
+    }
+  }
+
+  private describeOwners(): string {
+    const {network, chooser} = this.options;
+    return network
+      .livePeers()
+      .map(name => `${name}/${chooser.incarnationOf(name) ?? ''}`)
+      .sort()
+      .join();
+  }
+}
+
+function conflict(key: string): ConflictError {
+  return ConflictError.create(
+    `request key ${key} was used before with another body`,
+    {key},
+  );
+}
