Add admission and a compact form of the summaries

Admission names the resource and the largest offer of a job that can never run, gangs against the whole inventory; bounds the waiting tasks, refusing lower classes first with a retry deadline from the measured drain rate; and keeps the owner's part of the team quotas. Unused quota is lent; a blocked job of a team within its quota names batch tasks of borrowers to preempt.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,2 +1,5 @@
 /** Never-runnable check, team quotas with borrowing and overload refusal. */
-export {};
+export * from './find_never_runnable.js';
+export * from './never_runnable.js';
+export * from './overload_gate.js';
+export * from './team_quotas.js';
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -16,6 +16,8 @@
 export * from './policy_set.js';
 export * from './schedule_decision.js';
 export * from './scheduler_settings.js';
+export * from './summary_codec.js';
 export * from './task_info.js';
+export * from './team_lending.js';
 export * from './team_shares.js';
 export * from './worker_definition.js';
--- a/packages/placement/src/job_placer.ts
+++ b/packages/placement/src/job_placer.ts
@@ -11,6 +11,7 @@
 import type {SchedulerSettings} from './scheduler_settings.js';
 import type {ServiceIndex} from './service_index.js';
 import type {TaskRecord} from './task_record.js';
+import type {TeamShares} from './team_shares.js';
 import {Vectors} from './vectors.js';
 import type {WorkerRecord} from './worker_record.js';
 
@@ -21,6 +22,7 @@
   queue: JobQueue;
   policies: PolicySet;
   settings: SchedulerSettings;
+  shares: TeamShares;
   /** Called for every reservation that is made. */
   onReserved: (record: TaskRecord) => void;
 }
@@ -163,27 +165,55 @@
     const {clock, settings} = this.parts;
     const now = clock.monotonicNow();
     if (entry.job.kind === 'urgent') {
-      this.preempt(entry, now, decisions);
+      this.preempt(entry, now, () => true, decisions);
       return;
     }
     if (entry.reservationDeadline === Infinity) {
       entry.reservationDeadline = now + settings.backfillPatienceMilliseconds;
     }
     if (now < entry.reservationDeadline) return;
+    this.reclaim(entry, now, decisions);
     this.earmarkBlocked(entry, now + settings.earmarkMilliseconds);
   }
 
+  /** Takes back what the team has lent, from batch work of borrowers. */
+  private reclaim(
+    entry: QueuedJob,
+    now: number,
+    decisions: ScheduleDecision[],
+  ): void {
+    const {lending} = this.parts.shares;
+    const {kind, team, demand} = entry.job;
+    if (!lending || kind === 'gang' || entry.earmarks.length > 0) return;
+    if (!lending.mayReclaim(team, demand)) return;
+    const mayEnd = (task: TaskRecord) => lending.isBorrowing(task.info.team);
+    const first = decisions.length;
+    this.preempt(entry, now, mayEnd, decisions, 1);
+    for (const decision of decisions.slice(first)) {
+      if (decision.type !== 'preempt') continue;
+      const victim = this.parts.ledger.task(decision.task)!;
+      victim.isReturning = true;
+      lending.startReturn(
+        victim.info.team,
+        Vectors.toResources(victim.reserved),
+      );
+    }
+  }
+
   private preempt(
     entry: QueuedJob,
     now: number,
+    mayEnd: (task: TaskRecord) => boolean,
     decisions: ScheduleDecision[],
+    most = Infinity,
   ): void {
     const {ledger, settings} = this.parts;
     const index = ledger.index(entry.job.service);
     const {accept} = this.requestFor(entry);
     const deadline = now + settings.preemptionGraceMilliseconds;
-    while (entry.earmarks.length < entry.pending.length) {
-      const plan = this.planner.plan(index, entry.demand, accept, now);
+    const wanted = Math.min(entry.pending.length, most);
+    while (entry.earmarks.length < wanted) {
+      const plan = this.planner.plan(index, entry.demand, accept, mayEnd, now);
       if (!plan) return;
       for (const victim of plan.victims) {
         ledger.markPreempting(victim);
--- a/packages/placement/src/owner_scheduler.ts
+++ b/packages/placement/src/owner_scheduler.ts
@@ -77,6 +77,7 @@
       ledger: this.ledger,
       queue: this.queue,
       policies: parts.policies ?? PolicySet.create(),
+      shares: this.shares,
       settings: this.settings,
       onReserved,
     });
@@ -195,10 +196,10 @@
     if (!record) return false;
     const ran = this.parts.clock.monotonicNow() - record.placedAt;
     this.ledger.removeTask(record);
-    this.shares.subtract(
-      record.info.team,
-      Vectors.toResources(record.reserved),
-    );
+    const {team} = record.info;
+    const amounts = Vectors.toResources(record.reserved);
+    this.shares.subtract(team, amounts);
+    if (record.isReturning) this.shares.lending?.endReturn(team, amounts);
     this.runTimes.ended(record.info.kind, ran);
     return true;
   }
@@ -213,9 +214,15 @@
     const reserved = Vectors.maximum(record.declared, Vectors.of(usage));
     if (Vectors.equal(reserved, record.reserved)) return true;
     const {team} = record.info;
-    this.shares.subtract(team, Vectors.toResources(record.reserved));
+    const before = Vectors.toResources(record.reserved);
+    const after = Vectors.toResources(reserved);
+    this.shares.subtract(team, before);
     this.ledger.resizeTask(record, reserved);
-    this.shares.add(team, Vectors.toResources(reserved));
+    this.shares.add(team, after);
+    if (record.isReturning) {
+      this.shares.lending?.endReturn(team, before);
+      this.shares.lending?.startReturn(team, after);
+    }
     return true;
   }
 
--- a/packages/placement/src/preemption_planner.ts
+++ b/packages/placement/src/preemption_planner.ts
@@ -16,7 +16,7 @@
   lostRunTime: number;
 }
 
-/** Chooses which batch tasks give way to an urgent one. */
+/** Chooses which batch tasks give way to another task. */
 export class PreemptionPlanner {
   private constructor(private readonly random: RandomSource) {}
 
@@ -29,12 +29,13 @@
     index: ServiceIndex,
     demand: Vector,
     accept: (worker: WorkerRecord) => boolean,
+    mayEnd: (task: TaskRecord) => boolean,
     now: number,
   ): PreemptionPlan | undefined {
     const candidates = this.sample(index, demand, accept);
     let best: PreemptionPlan | undefined;
     for (const worker of candidates) {
-      const victims = chooseVictims(worker, demand);
+      const victims = chooseVictims(worker, demand, mayEnd);
       if (!victims) continue;
       const lostRunTime = victims.reduce((s, v) => s + now - v.placedAt, 0);
       if (best && best.lostRunTime <= lostRunTime) continue;
@@ -86,10 +87,12 @@
 function chooseVictims(
   worker: WorkerRecord,
   demand: Vector,
+  mayEnd: (task: TaskRecord) => boolean,
 ): TaskRecord[] | undefined {
   const missing = demand.map((amount, d) => amount - laterFree(worker, d));
   const batch = [...worker.tasks.values()]
     .filter(task => task.info.kind === 'batch' && !task.isPreempting)
+    .filter(mayEnd)
     .sort((a, b) => b.placedAt - a.placedAt);
   const victims: TaskRecord[] = [];
   for (const task of batch) {
--- a/packages/placement/src/reservation_ledger.ts
+++ b/packages/placement/src/reservation_ledger.ts
@@ -128,6 +128,7 @@
       reserved: demand,
       placedAt: now,
       isPreempting: false,
+      isReturning: false,
     };
     const name = formatTaskIdentity(identity);
     this.tasks.set(name, record);
--- a/packages/placement/src/task_record.ts
+++ b/packages/placement/src/task_record.ts
@@ -15,4 +15,6 @@
   placedAt: number;
   /** It was named in a preemption and is expected to end soon. */
   isPreempting: boolean;
+  /** It ends because its team borrowed what it uses. */
+  isReturning: boolean;
 }
