--- a/packages/log-follower/src/snapshot_codec.ts
+++ b/packages/log-follower/src/compact_json.ts
@@ -1,14 +1,17 @@
 import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
 
-/** Snapshots as deflated text, since a log limits the size of a record. */
-export const snapshotCodec = {
-  encode(state: unknown): string {
-    const text = JSON.stringify(state);
+/**
+ * JSON as deflated text in base 64, since a log limits the size of a record
+ * and traffic between regions is billed by volume.
+ */
+export const compactJson = {
+  encode(value: unknown): string {
+    const text = JSON.stringify(value);
     const level = constants.Z_BEST_SPEED;
     return deflateRawSync(text, {level}).toString('base64');
   },
 
-  /** The state, or undefined when the text is not one. */
+  /** The value, or undefined when the text is not one. */
   decode(text: string): unknown {
     try {
       const inflated = inflateRawSync(Buffer.from(text, 'base64'));
--- a/packages/log-follower/src/index.ts
+++ b/packages/log-follower/src/index.ts
@@ -1,5 +1,6 @@
 /** Reads a log stream into a state by a pure fold. */
 export * from './backoff.js';
+export * from './compact_json.js';
 export * from './followed_stream.js';
 export * from './log_envelope.js';
 export * from './log_follower.js';
--- a/packages/log-follower/src/log_follower.test.ts
+++ b/packages/log-follower/src/log_follower.test.ts
@@ -202,8 +202,11 @@
     await fixture.clock.advance(10_000);
     expect(late.follower.isCaughtUp()).toBe(false);
     expect(late.metrics.value('log.snapshots.missing')).toBeGreaterThan(0);
-    const tolerant = fixture.start({acceptsTrimmedStart: true});
-    await fixture.clock.advance(1);
+    const age = {trimmedStartAgeMilliseconds: 60_000};
+    const tolerant = fixture.start(age);
+    await fixture.clock.advance(45_000);
+    expect(tolerant.follower.isCaughtUp()).toBe(false);
+    await fixture.clock.advance(10_000);
     expect(bodies(tolerant.follower.state())).toEqual([2, 3]);
     fixture.stop();
   });
--- a/packages/log-follower/src/log_follower.ts
+++ b/packages/log-follower/src/log_follower.ts
@@ -16,7 +16,7 @@
 import {LogEnvelope} from './log_envelope.js';
 import {LogFollowerSettings} from './log_follower_settings.js';
 import {PendingAppend} from './pending_append.js';
-import {snapshotCodec} from './snapshot_codec.js';
+import {compactJson} from './compact_json.js';
 import {SnapshotSchedule} from './snapshot_schedule.js';
 import type {StreamFold} from './stream_fold.js';
 
@@ -309,9 +309,9 @@
     if (head.isLeft()) return head.map(() => undefined);
     const scan = await this.scan(head.unsafeCoerce(), deadline);
     if (scan.isLeft()) return scan.map(() => undefined);
-    const {start, found} = scan.unsafeCoerce();
+    const {start, startedAt, found} = scan.unsafeCoerce();
     if (found) this.adopt(found);
-    else if (this.settings.acceptsTrimmedStart) this.skipTrimmed(start);
+    else if (this.mayStartAt(startedAt)) this.skipTrimmed(start);
     if (this.next >= start) return Right(undefined);
     this.count('log.snapshots.missing');
     const details = {stream: this.options.stream, head: start};
@@ -338,11 +338,17 @@
   ): Promise<
     Either<
       UnavailableError,
-      {start: number; found: FoundSnapshot<State> | undefined}
+      {
+        start: number;
+        /** Instant of the first record read, if there is one. */
+        startedAt: number | undefined;
+        found: FoundSnapshot<State> | undefined;
+      }
     >
   > {
     let start = head;
     let from = head;
+    let startedAt: number | undefined;
     let found: FoundSnapshot<State> | undefined;
     for (;;) {
       const result = await this.readPage(from, deadline);
@@ -350,10 +356,11 @@
         const failure = result.swap().unsafeCoerce();
         if (failure instanceof UnavailableError) return Left(failure);
         start = from = headOf(failure as NotFoundError);
+        startedAt = undefined;
         continue;
       }
       const page = result.unsafeCoerce();
-      start = Math.max(start, page.head);
+      startedAt ??= page.records[0]?.appendedAt;
       for (const record of page.records) {
         found = newer(this.readSnapshot(record), found);
         from = record.offset + 1;
@@ -361,14 +368,14 @@
       if (from >= page.tail || page.records.length === 0) break;
     }
     const isUsable = found !== undefined && found.through >= start;
-    return Right({start, found: isUsable ? found : undefined});
+    return Right({start, startedAt, found: isUsable ? found : undefined});
   }
 
   private readSnapshot(record: LogRecord): FoundSnapshot<State> | undefined {
     const envelope = LogEnvelope.safeParse(record.body).data;
     if (!envelope || !('snapshot' in envelope)) return undefined;
     const {through} = envelope;
-    const decoded = snapshotCodec.decode(envelope.snapshot);
+    const decoded = compactJson.decode(envelope.snapshot);
     const state = this.options.fold.fromSnapshot(decoded);
     if (state === undefined || through > record.offset) {
       this.count('log.snapshots.unusable');
@@ -384,6 +391,16 @@
     this.count('log.snapshots.used');
   }
 
+  /** Whether the records before the head are old enough to do without. */
+  private mayStartAt(appendedAt: number | undefined): boolean {
+    const age = this.settings.trimmedStartAgeMilliseconds;
+    if (age === undefined) return false;
+    if (age === 0) return true;
+    const skew = this.settings.clockSkewMilliseconds;
+    const latest = this.options.clock.wallNow() - age - skew;
+    return appendedAt !== undefined && appendedAt <= latest;
+  }
+
   private skipTrimmed(head: number): void {
     if (head <= this.next) return;
     this.count('log.trimmed.skipped', head - this.next);
@@ -461,7 +478,7 @@
     const {fold, log, stream} = this.options;
     this.schedule.noteAttempt();
     const through = this.next;
-    const snapshot = snapshotCodec.encode(fold.toSnapshot(this.current));
+    const snapshot = compactJson.encode(fold.toSnapshot(this.current));
     const {readMilliseconds, pollMilliseconds} = this.settings;
     const result = await log.append({
       stream,
--- a/packages/log-follower/src/log_follower_settings.ts
+++ b/packages/log-follower/src/log_follower_settings.ts
@@ -28,9 +28,10 @@
   /** Time after a failed snapshot before the next attempt. */
   snapshotRetryMilliseconds: z.number().positive().default(10_000),
   /**
-   * Whether a stream whose start was trimmed may be read from its head without
-   * a snapshot. Right only when trimmed records no longer matter.
+   * A stream whose start was trimmed may be read from its head without a
+   * snapshot if the oldest kept record is of at least this age, since records
+   * before it no longer matter then. 0 always allows it; absent: never.
    */
-  acceptsTrimmedStart: z.boolean().default(false),
+  trimmedStartAgeMilliseconds: z.number().nonnegative().optional(),
 });
 export type LogFollowerSettings = z.infer<typeof LogFollowerSettings>;
