Follow the inventory when a worker is set to leaving

Cause: the state of a worker was read from the inventory as it was when its session began, so services were not moved.

--- a/packages/entry-host/src/entry_host.ts
+++ b/packages/entry-host/src/entry_host.ts
@@ -46,7 +46,9 @@
   /** Starts everything and returns the ports that are listened on. */
   async start(): Promise<{callerPort: number; peerPort: number}> {
     const {settings, base} = this.parts;
-    const peerPort = await this.mesh.listen();
+    const listening = await this.mesh.listen();
+    if (listening.isLeft()) throw listening.extract();
+    const peerPort = listening.unsafeCoerce();
     this.mesh.setPeers(settings.peers);
     void this.parts.run(this.controller.signal);
     const callerPort = await this.server.listen();
--- a/packages/group-owner/src/group_owner.ts
+++ b/packages/group-owner/src/group_owner.ts
@@ -211,7 +211,7 @@
       worker: worker.name,
       group: worker.rack,
       isReachable: isReadable,
-      isLeaving: this.sessions.isLeaving(worker),
+      isLeaving: this.sessions.isLeaving(worker.name),
       weight: health.weight(worker.name),
       tasks: book.ofWorker(worker.name).length,
       available: scheduler.availableOn(worker.name),
--- a/packages/group-owner/src/leaving_watch.ts
+++ b/packages/group-owner/src/leaving_watch.ts
@@ -51,7 +51,7 @@
 
   private moveServices(): void {
     for (const session of this.sessions.all()) {
-      if (!this.sessions.isLeaving(session.worker)) continue;
+      if (!this.sessions.isLeaving(session.worker.name)) continue;
       for (const task of this.context.book.ofWorker(session.worker.name)) {
         if (task.facts.kind !== 'service') continue;
         this.stopper.stop(task, 'its worker is leaving', true);
--- a/packages/group-owner/src/worker_sessions.ts
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -83,8 +83,10 @@
     this.refresh();
   }
 
-  isLeaving(worker: Worker): boolean {
-    return worker.state === 'leaving' || this.leaving.has(worker.name);
+  /** Whether the inventory or the platform shows the worker as leaving. */
+  isLeaving(name: string): boolean {
+    const state = this.configuration?.workers[name]?.state;
+    return state === 'leaving' || this.leaving.has(name);
   }
 
   /** Begins to serve the workers of a group. */
@@ -191,7 +193,7 @@
       availabilityZone: rack.availabilityZone,
       services: worker.services,
       capacity: worker.capacity,
-      state: this.isLeaving(worker) ? 'leaving' : 'active',
+      state: this.isLeaving(worker.name) ? 'leaving' : 'active',
       weight: this.weightOf(worker, session),
     });
   }
