Hold back answers about requests that no coordinator runs

Cause: a look-up answered at once although the caller asked to wait for news, so a waiting caller repeated it without a pause and kept the process busy for ever. Ruled out: the wait at the coordinator itself, which is held. Look-ups now repeat every 500 ms.

--- a/packages/requests/src/request_coordinator.ts
+++ b/packages/requests/src/request_coordinator.ts
@@ -41,6 +41,9 @@
 /** Period of the check for owners that went away. */
 const WATCH_PERIOD_MILLISECONDS = 250;
 
+/** Period of look-ups for a request that no coordinator runs. */
+const LOOK_UP_MILLISECONDS = 500;
+
 /** Time to register the key of a request that is taken over. */
 const ADOPT_MILLISECONDS = 10_000;
 
@@ -163,6 +166,24 @@
   async show(
     key: string,
     wait: WaitOptions = {},
+  ): Promise<Either<TypedError, RequestView>> {
+    const {clock} = this.options;
+    for (;;) {
+      const shown = await this.showOnce(key, wait);
+      const isWorthWaiting = shown.caseOf({
+        Left: () => false,
+        Right: view => !view.answer && !isNews(view, wait),
+      });
+      if (!isWorthWaiting) return shown;
+      if (clock.wallNow() >= (wait.waitUntil ?? 0)) return shown;
+      // The state came from a look-up, which can't be held until news come.
+      await clock.sleepUntil(clock.monotonicNow() + LOOK_UP_MILLISECONDS);
+    }
+  }
+
+  private async showOnce(
+    key: string,
+    wait: WaitOptions,
   ): Promise<Either<TypedError, RequestView>> {
     const known = this.store.find(key);
     if (known) {
@@ -416,8 +437,8 @@
     const deadline = clock.monotonicNow() + remaining;
     for (;;) {
       const view = record.view();
-      const isNews = view.revision > (wait.afterRevision ?? -1);
-      if (isNews || view.answer || record.isHandedOver) return view;
+      const isOver = view.answer !== undefined || record.isHandedOver;
+      if (isOver || isNews(view, wait)) return view;
       if (clock.monotonicNow() >= deadline) return view;
       await record.waitForChange(deadline);
     }
@@ -457,6 +478,10 @@
   }
 }
 
+function isNews(view: RequestView, wait: WaitOptions): boolean {
+  return view.revision > (wait.afterRevision ?? -1);
+}
+
 function conflict(key: string): ConflictError {
   return ConflictError.create(
     `request key ${key} was used before with another body`,
