Add worker ejection, probing, slow start and estimates

A worker is judged by its latest 20 outcomes of each service, at most 60 s old: the bound in number makes a busy worker's failures count within seconds and still lets a quiet one gather enough samples. A service that fails on more than half of the workers that have lately run it is at fault; its failures count against no worker, and workers ejected for it return at once.

--- a/packages/worker-health/src/index.ts
+++ b/packages/worker-health/src/index.ts
@@ -1,2 +1,6 @@
 /** Ejection of workers that fail everything, probing, slow start, and estimates of run times and sizes. */
-export {};
+export * from './health_settings.js';
+export * from './run_time_estimator.js';
+export * from './size_estimator.js';
+export * from './worker_health.js';
+export * from './worker_phase.js';
