--- a/packages/cli/src/command_line.test.ts
+++ b/packages/cli/src/command_line.test.ts
@@ -180,6 +180,15 @@
       4,
     ],
     ['conflict', answer(409, {code: 'conflict', detail: 'by badr'}), 1],
+    [
+      'conflict without effect',
+      answer(409, {
+        code: 'conflict',
+        detail: 'the log is unavailable',
+        details: {code: 'unavailable'},
+      }),
+      4,
+    ],
     ['unknown', () => ({outcome: 'unknown', message: 'm', findOut: 'f'}), 3],
     ['lost', loseAnswer, 3],
     ['malformed', () => ({outcome: 'perhaps'}), 3],
--- a/packages/cli/src/entry_options.ts
+++ b/packages/cli/src/entry_options.ts
@@ -1,7 +1,8 @@
 import type {Argv} from 'yargs';
 import type {EntryConnection} from './entry_connection.js';
 
-const DEFAULT_TIMEOUT_SECONDS = 10;
+/** An entry host waits up to 10 s for the verdict on a change. */
+const DEFAULT_TIMEOUT_SECONDS = 15;
 
 /** Adds the options of all subcommands that talk to entry hosts. */
 export function entryOptions(yargs: Argv): Argv<EntryConnection> {
--- a/packages/cli/src/publish_change.ts
+++ b/packages/cli/src/publish_change.ts
@@ -38,7 +38,10 @@
         const advice = `publish again on base ${base}: a change that was accepted is then refused and named as the winner`;
         run.context.writeErrorLine(advice);
       }
-      return reportError(run, error, json);
+      const code = reportError(run, error, json);
+      // A refusal carries the reason of the fold or of the publisher.
+      const isUnavailable = error.details['code'] === 'unavailable';
+      return isUnavailable ? ExitCode.unavailable : code;
     },
     Right: outcome => show(run, json, outcome, describe(outcome)),
   });
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -34,9 +34,6 @@
  */
 const BEHIND_PERIOD_MILLISECONDS = 1_000;
 
-/** Longest wait for the versions of peers that are only just connected. */
-const PEER_VERSION_PERIOD_MILLISECONDS = 2_000;
-
 /** Longest wait for one answer of a peer. */
 const FETCH_PERIOD_MILLISECONDS = 2_000;
 
@@ -49,7 +46,10 @@
   logger: Logger;
   metrics: Metrics;
   timeline: Timeline;
-  /** Longest wait for one tail read while starting. */
+  /**
+   * Longest wait for the tail while starting. It should exceed two heartbeat
+   * periods, so that all peers have told their versions when it ends.
+   */
   logCallMilliseconds?: number;
 }
 
@@ -72,12 +72,9 @@
   private inForce: VersionedConfiguration | undefined;
   private readonly listeners = new Set<Listener>();
   private behindDeadline: number | undefined;
-  private readonly peerVersionDeadline: number;
+  private publicationCount = 0;
 
-  private constructor(private readonly options: ConfigurationOptions) {
-    const now = options.clock.monotonicNow();
-    this.peerVersionDeadline = now + PEER_VERSION_PERIOD_MILLISECONDS;
-  }
+  private constructor(private readonly options: ConfigurationOptions) {}
 
   /** Registers with the stream and the peers; `run` does the rest. */
   static create(options: ConfigurationOptions): Configuration {
@@ -129,16 +126,30 @@
     options: PublishOptions,
     deadline: number,
   ): Promise<PublishOutcome> {
-    const parsed = ConfigurationRecord.safeParse({...options, change});
+    const publication = options.publication ?? this.createPublication();
+    const record = {...options, publication, change};
+    const parsed = ConfigurationRecord.safeParse(record);
     if (!parsed.success) {
       const message = z.prettifyError(parsed.error);
       return refused({code: 'malformed', message});
     }
-    const appended = await this.options.stream.append(parsed.data, deadline);
-    const outcome = appended.caseOf({
-      Left: error => outcomeOfFailure(error, options.publication),
-      Right: offset => this.outcomeAt(offset, options.publication),
-    });
+    const {stream} = this.options;
+    const from = stream.nextOffset();
+    const appended = await stream.append(parsed.data, deadline);
+    const isOwn = (verdict: Verdict) =>
+      appended.isRight()
+        ? verdict.offset === appended.extract()
+        : verdict.offset >= from && verdict.publication === publication;
+    // A snapshot can bring the verdict of a record that was not read itself,
+    // so the verdicts decide even when the append seems to have failed.
+    const verdict = this.verdicts().find(isOwn);
+    const outcome = verdict
+      ? outcomeOfVerdict(verdict)
+      : appended.caseOf({
+          Left: error => outcomeOfFailure(error, publication),
+          Right: offset =>
+            unknown(`no verdict on record ${offset} is kept`, publication),
+        });
     this.options.metrics.increment(`configuration.publish.${outcome.outcome}`);
     return outcome;
   }
@@ -153,14 +164,11 @@
     return this.verdicts().find(verdict => verdict.publication === publication);
   }
 
-  private outcomeAt(offset: number, publication?: string): PublishOutcome {
-    const verdict = this.verdicts().find(entry => entry.offset === offset);
-    if (!verdict) {
-      const message = `the verdict on record ${offset} is no longer kept`;
-      return unknown(message, publication);
-    }
-    if (verdict.outcome === 'refused') return refused(verdict.reason);
-    return {outcome: 'accepted', version: offset};
+  /** A name that no other publication of the kept verdicts has. */
+  private createPublication(): string {
+    const {network, clock} = this.options;
+    this.publicationCount += 1;
+    return `${network.self}.${clock.wallNow()}.${this.publicationCount}`;
   }
 
   private async catchUp(): Promise<void> {
@@ -209,7 +217,6 @@
   }
 
   private async compareWithPeers(): Promise<void> {
-    if (!this.inForce && this.isWaitingForVersions()) return;
     const candidates = this.peersAhead();
     if (candidates.length === 0) {
       this.behindDeadline = undefined;
@@ -223,15 +230,6 @@
     }
   }
 
-  /** Whether a live peer may yet report a higher version than the others. */
-  private isWaitingForVersions(): boolean {
-    const {network, clock} = this.options;
-    if (clock.monotonicNow() >= this.peerVersionDeadline) return false;
-    return network
-      .livePeers()
-      .some(peer => network.latest(peer, configurationSection) === undefined);
-  }
-
   /** Live peers with a higher version, the highest first. */
   private peersAhead(): Array<{peer: string; version: number}> {
     const {network} = this.options;
@@ -273,10 +271,14 @@
   return {outcome: 'refused', reason};
 }
 
-function unknown(message: string, publication?: string): PublishOutcome {
-  const search = publication
-    ? `look for publication ${publication} among the verdicts`
-    : 'look for the editor among the verdicts';
+function outcomeOfVerdict(verdict: Verdict): PublishOutcome {
+  return verdict.outcome === 'refused'
+    ? refused(verdict.reason)
+    : {outcome: 'accepted', version: verdict.offset};
+}
+
+function unknown(message: string, publication: string): PublishOutcome {
+  const search = `look for publication ${publication} among the verdicts`;
   return {
     outcome: 'unknown',
     message,
@@ -286,7 +288,7 @@
 
 function outcomeOfFailure(
   error: TypedError,
-  publication?: string,
+  publication: string,
 ): PublishOutcome {
   if (error.code === 'uncertain') return unknown(error.message, publication);
   const code = error.code === 'invalid-input' ? 'malformed' : 'unavailable';
