Change a configuration without copying all its items

Cause: every accepted record copied all items of a kind and the addresses of all workers were read again.

Items are now in tables of 128 buckets of which a change copies one, and an index finds a worker by its address. Plain objects are made only for a version that comes into force.

Shown to fail once: a bucket changed in place, and an address that stays taken after its worker has moved.

--- a/packages/configuration/src/check_base.ts
+++ b/packages/configuration/src/check_base.ts
@@ -31,7 +31,7 @@
   name: string,
 ): Refusal | undefined {
   const item = `${kind}/${name}`;
-  const last = history.itemVersions[kind][name];
+  const last = history.itemVersions[kind].get(name);
   if (last && last.offset > base) {
     const {offset, editor} = last;
     return {
--- a/packages/configuration/src/check_change.ts
+++ b/packages/configuration/src/check_change.ts
@@ -1,17 +1,19 @@
 import type {ConfigurationState} from '@cardamomfield/types';
-import {applyDelta} from './apply_delta.js';
+import {changeItems} from './change_items.js';
 import {checkReferences} from './check_references.js';
 import {checkRemovals} from './check_removals.js';
 import type {ConfigurationDelta} from './configuration_delta.js';
 import type {Refusal} from './refusal.js';
+import {toItems} from './to_items.js';
 
 /** Why the change would be refused on the given configuration, if it would. */
 export function checkChange(
   inForce: ConfigurationState,
   delta: ConfigurationDelta,
 ): Refusal | undefined {
+  const items = toItems(inForce);
   return (
-    checkRemovals(inForce, delta.remove) ??
-    checkReferences(applyDelta(inForce, delta), delta)
+    checkRemovals(items, delta.remove) ??
+    checkReferences(changeItems(items, delta), delta)
   );
 }
--- a/packages/configuration/src/check_references.ts
+++ b/packages/configuration/src/check_references.ts
@@ -1,6 +1,9 @@
 import {isIP} from 'node:net';
-import type {ConfigurationState, Worker} from '@cardamomfield/types';
+import type {Worker} from '@cardamomfield/types';
 import type {ConfigurationDelta} from './configuration_delta.js';
+import type {ConfigurationItems} from './configuration_items.js';
+import {endpointOf} from './endpoint_of.js';
+import type {ItemTable} from './item_table.js';
 import type {Refusal} from './refusal.js';
 
 /**
@@ -8,7 +11,7 @@
  * results from it. Untouched items were checked when they were accepted.
  */
 export function checkReferences(
-  result: ConfigurationState,
+  result: ConfigurationItems,
   delta: ConfigurationDelta,
 ): Refusal | undefined {
   const message =
@@ -21,17 +24,15 @@
 }
 
 function workerProblem(
-  result: ConfigurationState,
+  result: ConfigurationItems,
   put: readonly Worker[],
 ): string | undefined {
-  if (put.length === 0) return undefined;
-  const names = namesByEndpoint(result);
   for (const worker of put) {
     const {name, rack, services, address} = worker;
-    if (!result.racks[rack]) {
+    if (!result.racks.has(rack)) {
       return `worker ${name} is in rack ${rack}, which does not exist`;
     }
-    const missing = services.find(service => !result.services[service]);
+    const missing = services.find(service => !result.services.has(service));
     if (missing !== undefined) {
       return `worker ${name} runs service ${missing}, which does not exist`;
     }
@@ -40,37 +41,20 @@
       return `worker ${name} has address ${address}, which is not an IP number`;
     }
     // One host listed twice would be given twice what it can hold.
-    const [first, second] = names.get(endpointOf(address))!.sort();
-    if (second !== undefined) {
-      return `workers ${first} and ${second} have the same address ${address}`;
+    const first = result.endpoints.get(endpointOf(address));
+    if (first !== name) {
+      return `workers ${first} and ${name} have the same address ${address}`;
     }
   }
   return undefined;
 }
 
-function namesByEndpoint(result: ConfigurationState): Map<string, string[]> {
-  const names = new Map<string, string[]>();
-  for (const {name, address} of Object.values(result.workers)) {
-    const endpoint = endpointOf(address);
-    names.set(endpoint, [...(names.get(endpoint) ?? []), name]);
-  }
-  return names;
-}
-
-/** Host and port of an address. */
-function endpointOf(address: string): string {
-  const [, scheme, host] = /^(https?):\/\/([^/?#]+)/i.exec(address)!;
-  const port = scheme!.toLowerCase() === 'https' ? ':443' : ':80';
-  const hasPort = /:\d+$/.test(host!);
-  return host!.toLowerCase() + (hasPort ? '' : port);
-}
-
 function serviceProblem(
-  result: ConfigurationState,
+  result: ConfigurationItems,
   put: ConfigurationDelta['put']['services'],
 ): string | undefined {
   for (const {name, teams} of put) {
-    const missing = teams.find(team => !result.teams[team]);
+    const missing = teams.find(team => !result.teams.has(team));
     if (missing !== undefined) {
       return `service ${name} allows team ${missing}, which does not exist`;
     }
@@ -79,14 +63,14 @@
 }
 
 function ruleProblem(
-  result: ConfigurationState,
+  result: ConfigurationItems,
   put: ConfigurationDelta['put']['rules'],
 ): string | undefined {
   for (const {name, service, team} of put) {
-    if (service !== undefined && !result.services[service]) {
+    if (service !== undefined && !result.services.has(service)) {
       return `rule ${name} selects service ${service}, which does not exist`;
     }
-    if (team !== undefined && !result.teams[team]) {
+    if (team !== undefined && !result.teams.has(team)) {
       return `rule ${name} selects team ${team}, which does not exist`;
     }
   }
@@ -94,14 +78,14 @@
 }
 
 function removalProblem(
-  result: ConfigurationState,
+  result: ConfigurationItems,
   remove: ConfigurationDelta['remove'],
 ): string | undefined {
   const racks = new Set(remove.racks);
   const services = new Set(remove.services);
   const teams = new Set(remove.teams);
   if (racks.size + services.size + teams.size === 0) return undefined;
-  for (const worker of Object.values(result.workers)) {
+  for (const worker of byName(result.workers)) {
     if (racks.has(worker.rack)) {
       return `rack ${worker.rack} still has worker ${worker.name}`;
     }
@@ -110,13 +94,13 @@
       return `service ${used} is still run by worker ${worker.name}`;
     }
   }
-  for (const service of Object.values(result.services)) {
+  for (const service of byName(result.services)) {
     const used = service.teams.find(team => teams.has(team));
     if (used !== undefined) {
       return `team ${used} is still allowed by service ${service.name}`;
     }
   }
-  for (const rule of Object.values(result.rules)) {
+  for (const rule of byName(result.rules)) {
     if (rule.service !== undefined && services.has(rule.service)) {
       return `service ${rule.service} is still selected by rule ${rule.name}`;
     }
@@ -126,3 +110,10 @@
   }
   return undefined;
 }
+
+/** Items in the order of names, so that every process names the same one. */
+function byName<Item extends {name: string}>(table: ItemTable<Item>): Item[] {
+  return [...table.values()].sort((first, second) =>
+    first.name < second.name ? -1 : 1,
+  );
+}
--- a/packages/configuration/src/configuration.test.ts
+++ b/packages/configuration/src/configuration.test.ts
@@ -283,6 +283,11 @@
   );
 }
 
+function snapshotOf(cluster: Cluster, name: string): unknown {
+  const {follower} = cluster.get(name);
+  return ConfigurationFold.create().toSnapshot(follower.state());
+}
+
 async function startAll(names: string[]): Promise<Cluster> {
   const cluster = new Cluster(names);
   for (const name of names) cluster.start(name);
@@ -471,9 +476,7 @@
     expect(cluster.service.records(STREAM)[0]!.offset).toBeGreaterThan(3);
     cluster.start('b');
     await cluster.clock.advance(5_000);
-    expect(cluster.get('b').follower.state()).toEqual(
-      cluster.get('a').follower.state(),
-    );
+    expect(snapshotOf(cluster, 'b')).toEqual(snapshotOf(cluster, 'a'));
     const stale = cluster.publish('b', putRack('r0'), {base: 3});
     expect(await cluster.settle(stale)).toMatchObject({
       outcome: 'refused',
@@ -840,9 +843,7 @@
     this.check();
     const version = this.oracle.version();
     expect(versionsOf(cluster)).toEqual(NAMES.map(() => version));
-    const [first, ...others] = NAMES.map(each =>
-      cluster.get(each).follower.state(),
-    );
+    const [first, ...others] = NAMES.map(each => snapshotOf(cluster, each));
     for (const other of others) expect(other).toEqual(first);
     await Promise.all(this.pending);
   }
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -23,6 +23,7 @@
 import type {Refusal} from './refusal.js';
 import type {Verdict} from './verdict.js';
 import type {VersionedConfiguration} from './versioned_configuration.js';
+import {toState} from './to_state.js';
 import {withDictionaries} from './with_dictionaries.js';
 
 /** Period between two comparisons with the versions of the peers. */
@@ -184,8 +185,9 @@
     const {stream} = this.options;
     // Before the tail is reached the state is that of some earlier version.
     if (!stream.isCaughtUp()) return;
-    const {version, state} = stream.state();
-    this.apply({version, state}, 'log');
+    const {version, items} = stream.state();
+    if (this.inForce && version <= this.inForce.version) return;
+    this.apply({version, state: toState(items)}, 'log');
   }
 
   private apply(
--- a/packages/configuration/src/configuration_fold.test.ts
+++ b/packages/configuration/src/configuration_fold.test.ts
@@ -2,6 +2,8 @@
 import {describe, expect, it} from 'vitest';
 import {ConfigurationFold} from './configuration_fold.js';
 import type {ConfigurationHistory} from './configuration_history.js';
+import {emptyConfiguration} from './empty_configuration.js';
+import {toState} from './to_state.js';
 
 const fold = ConfigurationFold.create();
 
@@ -72,7 +74,7 @@
       edit({put: {racks: [rack('r2')]}}),
     ]);
     expect(history.version).toBe(2);
-    expect(Object.keys(history.state.racks)).toEqual(['r1', 'r2']);
+    expect(Object.keys(toState(history.items).racks)).toEqual(['r1', 'r2']);
     expect(history.verdicts.map(verdict => verdict.outcome)).toEqual([
       'accepted',
       'refused',
@@ -138,7 +140,7 @@
       ),
     ];
     const history = replay(bodies);
-    expect(Object.keys(history.itemVersions.teams)).toHaveLength(1_597);
+    expect(history.itemVersions.teams.size).toBe(1_597);
     const late = edit({base: 0, put: {teams: [teams[0]]}});
     expect(replay([late], history, 3).verdicts.at(-1)).toMatchObject({
       reason: {code: 'base-too-old'},
@@ -171,6 +173,17 @@
     expect(JSON.stringify(verdict)).toContain(message);
   });
 
+  // Guards against an address that stays taken after its worker has moved.
+  it('gives the address of a moved worker to another one', () => {
+    const history = replay([
+      FIRST,
+      edit({base: 0, put: {workers: [worker('w1', 'r1', 5)]}}),
+      edit({base: 0, put: {workers: [worker('w2', 'r1', 1)]}}),
+      edit({base: 0, put: {workers: [worker('w3', 'r1', 5)]}}),
+    ]);
+    expect(history.version).toBe(2);
+  });
+
   // Guards against the removal of a team that services or rules still name.
   it.each<Record<string, unknown[]>>([
     {services: [{name: 's', teams: ['t1']}]},
@@ -204,7 +217,7 @@
         editor: 'a',
         change: {
           kind: 'snapshot',
-          state: {...fold.initial().state, racks: {r2: rack('r3')}},
+          state: {...emptyConfiguration(), racks: {r2: rack('r3')}},
         },
       },
     ],
@@ -235,34 +248,34 @@
       editor: 'amal',
       change: {kind: 'snapshot', state},
     });
-    const stale = replay([FIRST, change, snapshot(start.state)]);
+    const stale = replay([FIRST, change, snapshot(toState(start.items))]);
     expect(stale.verdicts.at(-1)).toMatchObject({
       reason: {code: 'stale-base', winner: {offset: 1, editor: 'badr'}},
     });
-    const {state} = replay([FIRST, change]);
+    const state = toState(replay([FIRST, change]).items);
     const more = {...state, racks: {...state.racks, r3: rack('r3')}};
     const merged = replay([FIRST, change, snapshot(more)]);
     expect(merged.version).toBe(2);
-    expect(merged.itemVersions.racks['r2']).toMatchObject({offset: 1});
-    expect(merged.itemVersions.racks['r3']).toMatchObject({offset: 2});
+    expect(merged.itemVersions.racks.get('r2')).toMatchObject({offset: 1});
+    expect(merged.itemVersions.racks.get('r3')).toMatchObject({offset: 2});
   });
 
   // Guards against a fold that changes an earlier state, or that continues
   // differently from a snapshot than from the records.
   it('is pure and continues from a snapshot', () => {
     const first = replay([FIRST]);
-    const copy = JSON.stringify(first);
+    const copy = JSON.stringify(fold.toSnapshot(first));
     const later = [
       edit({base: 0, remove: {workers: ['w1']}}),
       edit({base: 0, put: {workers: [worker('w1', 'r1', 1)]}}),
     ];
     const whole = replay(later, first, 1);
-    expect(JSON.stringify(first)).toBe(copy);
+    expect(JSON.stringify(fold.toSnapshot(first))).toBe(copy);
     const snapshot: unknown = JSON.parse(
       JSON.stringify(fold.toSnapshot(first)),
     );
     const resumed = replay(later, fold.fromSnapshot(snapshot), 1);
-    expect(resumed).toEqual(whole);
+    expect(fold.toSnapshot(resumed)).toEqual(fold.toSnapshot(whole));
     expect(fold.fromSnapshot({version: 1})).toBeUndefined();
   });
 
@@ -270,9 +283,9 @@
   // object inherits.
   it('finds no item under an inherited name', () => {
     const history = replay([FIRST]);
-    expect(history.state.services['constructor']).toBeUndefined();
+    expect(toState(history.items).services['constructor']).toBeUndefined();
     const again = fold.fromSnapshot(fold.toSnapshot(history))!;
-    expect(again.state.services['constructor']).toBeUndefined();
+    expect(toState(again.items).services['constructor']).toBeUndefined();
     const verdict = lastVerdict([
       edit({put: {workers: [worker('w', 'toString', 1)]}}),
     ]);
--- a/packages/configuration/src/configuration_fold.ts
+++ b/packages/configuration/src/configuration_fold.ts
@@ -1,22 +1,24 @@
 import type {StreamFold} from '@cardamomfield/log-follower';
 import type {LogRecord} from '@cardamomfield/platform';
+import type {ConfigurationState} from '@cardamomfield/types';
 import {z} from 'zod';
-import {applyDelta} from './apply_delta.js';
+import {changeItems} from './change_items.js';
 import {checkBase} from './check_base.js';
 import {checkForm} from './check_form.js';
 import {checkReferences} from './check_references.js';
 import {checkRemovals} from './check_removals.js';
-import type {ConfigurationDelta} from './configuration_delta.js';
-import {ConfigurationHistory} from './configuration_history.js';
+import type {ConfigurationHistory} from './configuration_history.js';
 import {ConfigurationRecord} from './configuration_record.js';
+import {ConfigurationSnapshot} from './configuration_snapshot.js';
 import {emptyConfiguration} from './empty_configuration.js';
-import type {ItemVersion} from './item_version.js';
+import {ItemTable} from './item_table.js';
 import {NO_VERSION} from './no_version.js';
 import type {Refusal} from './refusal.js';
 import {touchItems} from './touch_items.js';
 import {toDelta} from './to_delta.js';
 import type {Verdict} from './verdict.js';
-import {withDictionaries} from './with_dictionaries.js';
+import {toItems} from './to_items.js';
+import {toState} from './to_state.js';
 
 /** Verdicts kept for publishers whose answer was lost. */
 const MAXIMUM_VERDICTS = 512;
@@ -37,24 +39,11 @@
   }
 
   initial(): ConfigurationHistory {
-    const state = emptyConfiguration();
     return {
       version: NO_VERSION,
-      state,
-      itemVersions: withDictionaries<Record<keyof typeof state, ItemVersions>>({
-        racks: {},
-        workers: {},
-        services: {},
-        teams: {},
-        rules: {},
-      }),
-      floors: {
-        racks: NO_VERSION,
-        workers: NO_VERSION,
-        services: NO_VERSION,
-        teams: NO_VERSION,
-        rules: NO_VERSION,
-      },
+      items: toItems(emptyConfiguration()),
+      itemVersions: byKind(() => ItemTable.create()),
+      floors: byKind(() => NO_VERSION),
       verdicts: [],
     };
   }
@@ -75,22 +64,40 @@
     return decide(history, offset, parsed.data);
   }
 
-  toSnapshot(history: ConfigurationHistory): unknown {
-    return history;
+  toSnapshot(history: ConfigurationHistory): ConfigurationSnapshot {
+    const {version, items, itemVersions, floors, verdicts} = history;
+    return {
+      version,
+      state: toState(items),
+      itemVersions: byKind(kind => itemVersions[kind].toRecord()),
+      floors,
+      verdicts: [...verdicts],
+    };
   }
 
   fromSnapshot(snapshot: unknown): ConfigurationHistory | undefined {
-    const parsed = ConfigurationHistory.safeParse(snapshot);
+    const parsed = ConfigurationSnapshot.safeParse(snapshot);
     if (!parsed.success) return undefined;
+    const {state, itemVersions, ...rest} = parsed.data;
     return {
-      ...parsed.data,
-      state: withDictionaries(parsed.data.state),
-      itemVersions: withDictionaries(parsed.data.itemVersions),
+      ...rest,
+      items: toItems(state),
+      itemVersions: byKind(kind => ItemTable.create(itemVersions[kind])),
     };
   }
 }
 
-type ItemVersions = Record<string, ItemVersion>;
+function byKind<Value>(
+  create: (kind: keyof ConfigurationState) => Value,
+): Record<keyof ConfigurationState, Value> {
+  return {
+    racks: create('racks'),
+    workers: create('workers'),
+    services: create('services'),
+    teams: create('teams'),
+    rules: create('rules'),
+  };
+}
 
 function decide(
   history: ConfigurationHistory,
@@ -107,23 +114,16 @@
     withVerdict(history, {outcome: 'refused', ...source, reason});
   const malformed = checkForm(record, history.version);
   if (malformed) return refuse(malformed);
-  const delta = toDelta(record.change, history.state);
-  const state = applyDelta(history.state, delta);
+  const delta = toDelta(record.change, history.items);
+  const items = changeItems(history.items, delta);
   const refusal =
     checkBase(history, record.base, delta) ??
-    checkRemovals(history.state, delta.remove) ??
-    checkReferences(state, delta);
+    checkRemovals(history.items, delta.remove) ??
+    checkReferences(items, delta);
   if (refusal) return refuse(refusal);
-  const next = accept(history, delta, {offset, editor});
-  return withVerdict({...next, state}, {outcome: 'accepted', ...source});
-}
-
-function accept(
-  history: ConfigurationHistory,
-  delta: ConfigurationDelta,
-  by: {offset: number; editor: string},
-): ConfigurationHistory {
-  return {...touchItems(history, delta, by), version: by.offset};
+  const touched = touchItems(history, delta, items, {offset, editor});
+  const next = {...history, ...touched, items, version: offset};
+  return withVerdict(next, {outcome: 'accepted', ...source});
 }
 
 function withVerdict(
--- a/packages/configuration/src/configuration_history.ts
+++ b/packages/configuration/src/configuration_history.ts
@@ -1,34 +1,20 @@
-import {ConfigurationState} from '@cardamomfield/types';
-import {z} from 'zod';
-import {ItemVersion} from './item_version.js';
-import {NO_VERSION} from './no_version.js';
-import {Verdict} from './verdict.js';
+import type {ConfigurationState} from '@cardamomfield/types';
+import type {ConfigurationItems} from './configuration_items.js';
+import type {ItemTable} from './item_table.js';
+import type {ItemVersion} from './item_version.js';
+import type {Verdict} from './verdict.js';
 
-const itemVersions = z.record(z.string(), ItemVersion);
-const floor = z.int().min(NO_VERSION);
+type ItemKind = keyof ConfigurationState;
 
 /** State of the fold: the configuration and what later verdicts need. */
-export const ConfigurationHistory = z.strictObject({
+export interface ConfigurationHistory {
   /** Offset of the last accepted record. */
-  version: z.int().min(NO_VERSION),
-  state: ConfigurationState,
+  readonly version: number;
+  readonly items: ConfigurationItems;
   /** Last record of every item, removed ones included. */
-  itemVersions: z.strictObject({
-    racks: itemVersions,
-    workers: itemVersions,
-    services: itemVersions,
-    teams: itemVersions,
-    rules: itemVersions,
-  }),
+  readonly itemVersions: Readonly<Record<ItemKind, ItemTable<ItemVersion>>>;
   /** Removals up to these versions are forgotten. */
-  floors: z.strictObject({
-    racks: floor,
-    workers: floor,
-    services: floor,
-    teams: floor,
-    rules: floor,
-  }),
+  readonly floors: Readonly<Record<ItemKind, number>>;
   /** The latest verdicts, oldest first. */
-  verdicts: z.array(Verdict),
-});
-export type ConfigurationHistory = z.infer<typeof ConfigurationHistory>;
+  readonly verdicts: readonly Verdict[];
+}
--- a/packages/configuration/src/file_change.ts
+++ b/packages/configuration/src/file_change.ts
@@ -3,6 +3,7 @@
 import {dictionary} from './dictionary.js';
 import {ITEM_KINDS} from './item_kinds.js';
 import {toDelta} from './to_delta.js';
+import {toItems} from './to_items.js';
 
 type Lists = {
   [Kind in keyof ConfigurationState]?: Array<ConfigurationState[Kind][string]>;
@@ -23,5 +24,5 @@
     wanted[kind] = keepOthers ? dictionary(others, listed) : listed;
   }
   const state = wanted as ConfigurationState;
-  return toDelta({kind: 'snapshot', state}, inForce);
+  return toDelta({kind: 'snapshot', state}, toItems(inForce));
 }
--- a/packages/configuration/src/to_delta.ts
+++ b/packages/configuration/src/to_delta.ts
@@ -1,32 +1,36 @@
 import {isDeepStrictEqual} from 'node:util';
-import type {ConfigurationState} from '@cardamomfield/types';
 import type {ConfigurationChange} from './configuration_change.js';
 import type {ConfigurationDelta} from './configuration_delta.js';
+import type {ConfigurationItems} from './configuration_items.js';
 import {ITEM_KINDS} from './item_kinds.js';
+import type {ItemTable} from './item_table.js';
 
-type Items = Readonly<Record<string, {name: string}>>;
+type Item = {name: string};
+type Items = Readonly<Record<string, Item>>;
 
 /** The change as puts and removes against the configuration in force. */
 export function toDelta(
   change: ConfigurationChange,
-  inForce: ConfigurationState,
+  inForce: ConfigurationItems,
 ): ConfigurationDelta {
   if (change.kind === 'delta') return change;
   const put: Record<string, unknown> = {};
   const remove: Record<string, unknown> = {};
   for (const kind of ITEM_KINDS) {
-    put[kind] = changedItems(change.state[kind], inForce[kind]);
-    remove[kind] = missingNames(change.state[kind], inForce[kind]);
+    const table = inForce[kind] as unknown as ItemTable<Item>;
+    put[kind] = changedItems(change.state[kind], table);
+    remove[kind] = missingNames(change.state[kind], table);
   }
   return {kind: 'delta', put, remove} as ConfigurationDelta;
 }
 
-function changedItems(wanted: Items, inForce: Items): unknown[] {
+function changedItems(wanted: Items, inForce: ItemTable<Item>): Item[] {
   return Object.values(wanted).filter(
-    item => !isDeepStrictEqual(item, inForce[item.name]),
+    item => !isDeepStrictEqual(item, inForce.get(item.name)),
   );
 }
 
-function missingNames(wanted: Items, inForce: Items): string[] {
-  return Object.keys(inForce).filter(name => !Object.hasOwn(wanted, name));
+function missingNames(wanted: Items, inForce: ItemTable<Item>): string[] {
+  const names = [...inForce.entries()].map(([name]) => name);
+  return names.filter(name => !Object.hasOwn(wanted, name)).sort();
 }
--- a/packages/configuration/src/touch_items.ts
+++ b/packages/configuration/src/touch_items.ts
@@ -1,7 +1,8 @@
 import type {ConfigurationDelta} from './configuration_delta.js';
 import type {ConfigurationHistory} from './configuration_history.js';
-import {dictionary} from './dictionary.js';
+import type {ConfigurationItems} from './configuration_items.js';
 import {ITEM_KINDS} from './item_kinds.js';
+import type {ItemTable} from './item_table.js';
 import type {ItemVersion} from './item_version.js';
 
 /**
@@ -11,39 +12,52 @@
  */
 const MAXIMUM_REMOVED_ITEMS = 4_096;
 
-type ItemVersions = Record<string, ItemVersion>;
-
 /** Notes the record as the last one of every item that its delta names. */
 export function touchItems(
   history: ConfigurationHistory,
   delta: ConfigurationDelta,
+  items: ConfigurationItems,
   by: {offset: number; editor: string},
-): ConfigurationHistory {
+): Pick<ConfigurationHistory, 'itemVersions' | 'floors'> {
   const itemVersions = {...history.itemVersions};
   const floors = {...history.floors};
   for (const kind of ITEM_KINDS) {
-    const put = delta.put[kind];
-    const remove = delta.remove[kind];
-    if (put.length + remove.length === 0) continue;
-    const versions = dictionary(itemVersions[kind]);
-    for (const {name} of put) versions[name] = {...by, isRemoved: false};
-    for (const name of remove) versions[name] = {...by, isRemoved: true};
-    if (remove.length > 0) {
-      floors[kind] = Math.max(floors[kind], forgetRemovals(versions));
-    }
-    itemVersions[kind] = versions;
+    const touched = itemVersions[kind].with(
+      [
+        ...delta.put[kind].map(({name}) => entry(name, by, false)),
+        ...delta.remove[kind].map(name => entry(name, by, true)),
+      ],
+      [],
+    );
+    itemVersions[kind] = touched;
+    // Every item in force has a version, so the others are removed ones.
+    if (touched.size - items[kind].size <= MAXIMUM_REMOVED_ITEMS) continue;
+    const {kept, last} = forgetRemovals(touched);
+    itemVersions[kind] = kept;
+    floors[kind] = last;
   }
-  return {...history, itemVersions, floors};
+  return {itemVersions, floors};
 }
 
-/** Drops the older removals; returns the latest version that was dropped. */
-function forgetRemovals(versions: ItemVersions): number {
-  const removed = Object.entries(versions).filter(([, v]) => v.isRemoved);
-  if (removed.length <= MAXIMUM_REMOVED_ITEMS) return -Infinity;
-  removed.sort(([, first], [, second]) => first.offset - second.offset);
+function entry(
+  name: string,
+  by: {offset: number; editor: string},
+  isRemoved: boolean,
+): readonly [string, ItemVersion] {
+  return [name, {...by, isRemoved}];
+}
+
+/** Drops the older removals and tells the latest version that was dropped. */
+function forgetRemovals(versions: ItemTable<ItemVersion>): {
+  kept: ItemTable<ItemVersion>;
+  last: number;
+} {
+  const removed = [...versions.entries()]
+    .filter(([, version]) => version.isRemoved)
+    .sort(([, first], [, second]) => first.offset - second.offset);
   const last = removed[Math.floor(removed.length / 2)]![1].offset;
-  for (const [name, {offset}] of removed) {
-    if (offset <= last) delete versions[name];
-  }
-  return last;
+  const names = removed
+    .filter(([, version]) => version.offset <= last)
+    .map(([name]) => name);
+  return {kept: versions.with([], names), last};
 }
