Fuzz ownership over the real log follower

The in-memory log now holds reads back until there is something to return, as the log follower waits for records that way.

--- a/packages/fuzz/src/ownership/simulated_clock.ts
+++ b/packages/fuzz/src/ownership/simulated_clock.ts
@@ -2,9 +2,6 @@
 import type {SimulatedLife} from './simulated_life.js';
 import type {SimulatedWorld} from './simulated_world.js';
 
-/** Wall time of the simulation's start. */
-const WALL_START = 1_700_000_000_000;
-
 /**
  * The clock of one simulated process. It runs at its own rate and keeps
  * running while the process is paused.
@@ -31,7 +28,7 @@
   }
 
   wallNow(): number {
-    return WALL_START + Math.floor(this.world.now());
+    return this.world.wallNow();
   }
 
   /** The global instant at which this clock shows a monotonic value. */
--- a/packages/fuzz/src/ownership/simulated_host.ts
+++ b/packages/fuzz/src/ownership/simulated_host.ts
@@ -1,5 +1,5 @@
 import {SeededRandomSource} from '@cardamomfield/clock';
-import type {FollowedStream} from '@cardamomfield/log-follower';
+import {type FollowedStream, LogFollower} from '@cardamomfield/log-follower';
 import {SilentLogger} from '@cardamomfield/logger';
 import {MemoryMetrics} from '@cardamomfield/metrics';
 import {
@@ -16,7 +16,6 @@
 import type {SimulatedLog} from './simulated_log.js';
 import {SimulatedLogClient} from './simulated_log_client.js';
 import {SimulatedNetwork} from './simulated_network.js';
-import {SimulatedStream} from './simulated_stream.js';
 import type {SimulatedWorld} from './simulated_world.js';
 
 interface SimulatedHostOptions {
@@ -38,6 +37,9 @@
 /** Largest deviation of a clock's rate. */
 const MAXIMUM_DRIFT = 0.01;
 
+/** Well above the hosts, each of which may write a snapshot at once. */
+const SNAPSHOT_AFTER_RECORDS = 40;
+
 /** One host on which processes run one after the other. */
 export class SimulatedHost {
   readonly name: string;
@@ -74,8 +76,20 @@
       life,
       clock,
     });
-    const fold = OwnershipFold.create();
-    const followed = SimulatedStream.create({clock, fold, log: client});
+    const random = SeededRandomSource.create(this.incarnation);
+    const logger = SilentLogger.create();
+    const metrics = MemoryMetrics.create();
+    const followed = LogFollower.create({
+      log: client,
+      stream: 'ownership',
+      fold: OwnershipFold.create(),
+      clock,
+      random,
+      logger,
+      metrics,
+      writer: incarnation,
+      settings: {snapshotAfterRecords: SNAPSHOT_AFTER_RECORDS},
+    });
     const network = SimulatedNetwork.create({
       world,
       links,
@@ -89,9 +103,9 @@
       process: name,
       incarnation,
       clock,
-      random: SeededRandomSource.create(this.incarnation),
-      logger: SilentLogger.create(),
-      metrics: MemoryMetrics.create(),
+      random,
+      logger,
+      metrics,
       timeline: Timeline.create({process: name, clock, capacity: 100}),
       stream,
       network: this.options.wrapNetwork(network, clock),
@@ -100,7 +114,7 @@
     manager.setGroups(groups);
     Object.assign(this, {life, manager, stream: followed, clock});
     const neverAborted = new AbortController().signal;
-    void followed.run();
+    void followed.run(neverAborted);
     void network.run();
     void manager.run(neverAborted);
   }
--- a/packages/fuzz/src/ownership/simulated_log.ts
+++ b/packages/fuzz/src/ownership/simulated_log.ts
@@ -11,6 +11,10 @@
   /** Longest additional delay of each message to and from the service. */
   extraDelayMilliseconds = 0;
 
+  /** Offset of the oldest record that is kept. */
+  head = 0;
+  private readonly waiting = new Set<() => void>();
+
   private constructor(private readonly world: SimulatedWorld) {}
 
   static create(world: SimulatedWorld): SimulatedLog {
@@ -21,11 +25,28 @@
     const offset = this.records.length;
     // A copy as the wire would make it.
     const copy = JSON.parse(JSON.stringify(body)) as LogRecord['body'];
-    const appendedAt = Math.floor(this.world.now());
+    const appendedAt = this.world.wallNow();
     this.records.push({offset, appendedAt, body: copy});
+    for (const wake of [...this.waiting]) wake();
     return offset;
   }
 
+  /** Runs a function once there is a record at the offset, or at the end. */
+  whenReached(offset: number, end: number, run: () => void): void {
+    if (this.records.length > offset || end <= this.world.now()) {
+      run();
+      return;
+    }
+    const finish = () => {
+      if (this.records.length <= offset && this.world.now() < end) return;
+      this.waiting.delete(finish);
+      timer.cancel();
+      run();
+    };
+    const timer = this.world.schedule(end, finish);
+    this.waiting.add(finish);
+  }
+
   /** Delay of one message in one direction. */
   delay(): number {
     const {world} = this;
--- a/packages/fuzz/src/ownership/simulated_log_client.ts
+++ b/packages/fuzz/src/ownership/simulated_log_client.ts
@@ -1,4 +1,8 @@
-import {UnavailableError, UncertainError} from '@cardamomfield/errors';
+import {
+  NotFoundError,
+  UnavailableError,
+  UncertainError,
+} from '@cardamomfield/errors';
 import type {LogPage, PlatformLog} from '@cardamomfield/platform';
 import {type Either, Left, Right} from 'purify-ts';
 import type {SimulatedClock} from './simulated_clock.js';
@@ -43,17 +47,26 @@
       options.deadline,
       () => Left(UnavailableError.create('log read timed out')),
       answer => {
-        const end = options.from + options.maximumRecords;
-        const page: LogPage = {
-          records: log.records.slice(options.from, end),
-          head: 0,
-          tail: log.records.length,
-        };
-        answer(Right(page));
+        const {clock} = this.options;
+        const end = clock.globalInstant(options.waitUntil ?? -Infinity);
+        log.whenReached(options.from, end, () =>
+          answer(this.page(options.from, options.maximumRecords)),
+        );
       },
     );
   }
 
+  private page(from: number, maximumRecords: number): ReadResult {
+    const {head, records} = this.options.log;
+    if (from < head) return Left(NotFoundError.create('trimmed', {head}));
+    const page: LogPage = {
+      records: records.slice(from, from + maximumRecords),
+      head,
+      tail: records.length,
+    };
+    return Right(page);
+  }
+
   private exchange<Result extends Either<unknown, unknown>>(
     deadline: number,
     late: () => Result,
--- a/packages/fuzz/src/ownership/simulated_world.ts
+++ b/packages/fuzz/src/ownership/simulated_world.ts
@@ -9,6 +9,9 @@
   isCancelled: boolean;
 }
 
+/** Wall time of the simulation's start. */
+const WALL_START = 1_700_000_000_000;
+
 /** Longest gap between two pieces of work that a resumed process catches up. */
 const RESUME_GAP_MILLISECONDS = 2;
 
@@ -31,6 +34,11 @@
     return this.time;
   }
 
+  /** Milliseconds since the Unix epoch. */
+  wallNow(): number {
+    return WALL_START + Math.floor(this.time);
+  }
+
   /** A number between the bounds. */
   between(low: number, high: number): number {
     return low + (high - low) * this.random.fraction();
