--- a/packages/fuzz/src/ownership/simulated_log.ts
+++ b/packages/fuzz/src/ownership/simulated_log.ts
@@ -11,6 +11,8 @@
   /** Longest additional delay of each message to and from the service. */
   extraDelayMilliseconds = 0;
 
+  /** Calls of all hosts so far. */
+  calls = 0;
   /** Offset of the oldest record that is kept. */
   head = 0;
   private readonly waiting = new Set<() => void>();
--- a/packages/fuzz/src/ownership/simulated_log_client.ts
+++ b/packages/fuzz/src/ownership/simulated_log_client.ts
@@ -73,6 +73,7 @@
     serve: (answer: (result: Result) => void) => void,
   ): Promise<Result> {
     const {clock, host, life, log, world} = this.options;
+    log.calls += 1;
     return new Promise(resolve => {
       const end = clock.globalInstant(deadline);
       const timer = world.schedule(end, () => resolve(late()), life);
--- a/packages/ownership/src/group_rebalancing.ts
+++ b/packages/ownership/src/group_rebalancing.ts
@@ -67,7 +67,7 @@
     const {process, settings} = this.context;
     const hosts = this.stableHosts();
     if (!hosts.includes(process)) return;
-    const misplaced = this.ownedGroups()
+    const misplaced = this.settledGroups()
       .map(group => ({
         group,
         successor: this.candidates.ranked(group, hosts)[0],
@@ -95,6 +95,15 @@
       .map(claim => claim.group);
   }
 
+  /** A group that came by a handover is not sent back at once. */
+  private settledGroups(): string[] {
+    const {claims, clock, settings} = this.context;
+    const before = clock.monotonicNow() - settings.rebalanceStableMilliseconds;
+    return this.ownedGroups().filter(
+      group => (claims.find(group)?.effectAt ?? Infinity) <= before,
+    );
+  }
+
   /** Hosts that have been eligible long enough for groups to move to them. */
   private stableHosts(): string[] {
     const {clock, process, settings} = this.context;
