Skip blocked jobs that no freed worker can hold; add a window of batch jobs

A service remembers which workers were freed last. A blocked job, and a whole lane by the least that its blocked jobs demand, is attempted again only when one of them fits, instead of searching all workers after every release. Searches run over one tree a service; only spread keeps a tree a zone.

Batch jobs may be chosen from a window by balance.

--- a/packages/placement/src/best_fit_policy.ts
+++ b/packages/placement/src/best_fit_policy.ts
@@ -21,16 +21,11 @@
     const {demand, accept} = request;
     const dominant = Vectors.dominantDimension(demand, index.total);
     let best: WorkerRecord | undefined;
-    for (const zone of index.zoneNames) {
-      const tree = index.tree(zone, dominant);
-      tree.ascend(demand, demand[dominant]!, worker => {
-        const least = best?.available[dominant] ?? Infinity;
-        if (worker.available[dominant]! >= least) return true;
-        if (!accept(worker)) return false;
-        best = worker;
-        return true;
-      });
-    }
+    index.tree(dominant).ascend(demand, demand[dominant]!, worker => {
+      if (!accept(worker)) return false;
+      best = worker;
+      return true;
+    });
     return best;
   }
 
--- a/packages/placement/src/dot_product_policy.ts
+++ b/packages/placement/src/dot_product_policy.ts
@@ -26,13 +26,7 @@
     const {demand, accept} = request;
     const valueOf = this.product(index, demand);
     const dominant = Vectors.dominantDimension(demand, index.total);
-    let best: {worker: WorkerRecord; value: number} | undefined;
-    for (const zone of index.zoneNames) {
-      const tree = index.tree(zone, dominant);
-      const found = tree.highest(demand, valueOf, accept);
-      if (found && found.value > (best?.value ?? -Infinity)) best = found;
-    }
-    return best?.worker;
+    return index.tree(dominant).highest(demand, valueOf, accept);
   }
 
   costOf(
--- a/packages/placement/src/first_fit_policy.ts
+++ b/packages/placement/src/first_fit_policy.ts
@@ -18,15 +18,11 @@
     request: PlacementRequest,
   ): WorkerRecord | undefined {
     let first: WorkerRecord | undefined;
-    for (const zone of index.zoneNames) {
-      const tree = index.tree(zone, 'position');
-      tree.ascend(request.demand, -Infinity, worker => {
-        if (first && worker.position > first.position) return true;
-        if (!request.accept(worker)) return false;
-        first = worker;
-        return true;
-      });
-    }
+    index.tree('position').ascend(request.demand, -Infinity, worker => {
+      if (!request.accept(worker)) return false;
+      first = worker;
+      return true;
+    });
     return first;
   }
 
--- a/packages/placement/src/fit_tree.ts
+++ b/packages/placement/src/fit_tree.ts
@@ -100,7 +100,7 @@
     demand: Vector,
     valueOf: (available: Vector) => number,
     accept: (worker: WorkerRecord) => boolean,
-  ): {worker: WorkerRecord; value: number} | undefined {
+  ): WorkerRecord | undefined {
     const search = {
       demand,
       valueOf,
@@ -109,8 +109,7 @@
       value: -Infinity,
     };
     searchHighest(this.root, search);
-    if (!search.worker) return undefined;
-    return {worker: search.worker, value: search.value};
+    return search.worker;
   }
 }
 
--- a/packages/placement/src/job_lane.ts
+++ b/packages/placement/src/job_lane.ts
@@ -1,6 +1,7 @@
 import type {WorkKind} from '@cardamomfield/types';
 import {BinaryHeap} from './binary_heap.js';
 import type {QueuedJob} from './queued_job.js';
+import type {Vector} from './vector.js';
 
 /** Withdrawn entries that a lane tolerates before it compacts. */
 const MINIMUM_COMPACTION = 64;
@@ -13,6 +14,12 @@
   blockedAtVersion = -1;
   /** Monotonic instant at which blocked entries need another look. */
   recheckAt = Infinity;
+  /** The least that any blocked entry without earmarks demands. */
+  leastDemand: Vector = [];
+  /** Blocked entries for which capacity is kept. */
+  earmarked: QueuedJob[] = [];
+  /** Blocked entries in order; they were taken from the heap before. */
+  private front: QueuedJob[] = [];
   private readonly heap = BinaryHeap.create<QueuedJob>(isEarlier);
 
   private constructor(
@@ -34,21 +41,31 @@
   /** Takes out the next entry for a placement attempt. */
   take(): QueuedJob | undefined {
     for (;;) {
-      const entry = this.heap.pop();
+      const entry = this.takeAny();
       if (!entry || entry.isQueued) return entry;
     }
   }
 
-  /** Puts back an entry that stays blocked. */
-  putBack(entry: QueuedJob): void {
-    if (entry.isQueued) this.heap.push(entry);
+  /** Puts back the entries that stay blocked, which must be in order. */
+  putBack(blocked: QueuedJob[]): void {
+    const live = blocked.filter(entry => entry.isQueued);
+    this.front = [...live, ...this.front];
   }
 
   /** Accounts for an entry that no longer waits. */
   forget(): void {
     this.live--;
-    if (this.heap.size - this.live <= MINIMUM_COMPACTION + this.live) return;
+    const dead = this.heap.size + this.front.length - this.live;
+    if (dead <= MINIMUM_COMPACTION + this.live) return;
     this.heap.filter(entry => entry.isQueued);
+    this.front = this.front.filter(entry => entry.isQueued);
+  }
+
+  private takeAny(): QueuedJob | undefined {
+    const first = this.front[0];
+    const top = this.heap.peek();
+    if (first && (!top || isEarlier(first, top))) return this.front.shift();
+    return this.heap.pop();
   }
 }
 
--- a/packages/placement/src/job_placer.ts
+++ b/packages/placement/src/job_placer.ts
@@ -15,6 +15,9 @@
 import {Vectors} from './vectors.js';
 import type {WorkerRecord} from './worker_record.js';
 
+/** Batch work that starts meanwhile may be preempted, so it is looked for. */
+const URGENT_RETRY_MILLISECONDS = 100;
+
 interface Dependencies {
   clock: Clock;
   random: RandomSource;
@@ -73,6 +76,14 @@
     for (const earmark of entry.earmarks) {
       recheckAt = Math.min(recheckAt, earmark.deadline);
     }
+    const isWanting = entry.earmarks.length < entry.pending.length;
+    if (entry.job.kind === 'urgent' && isWanting) {
+      const {clock} = this.parts;
+      return Math.min(
+        recheckAt,
+        clock.monotonicNow() + URGENT_RETRY_MILLISECONDS,
+      );
+    }
     if (entry.reservationDeadline > this.parts.clock.monotonicNow()) {
       recheckAt = Math.min(recheckAt, entry.reservationDeadline);
     }
--- a/packages/placement/src/job_queue.ts
+++ b/packages/placement/src/job_queue.ts
@@ -59,11 +59,9 @@
     }
   }
 
-  /** Lanes of a class that have waiting jobs. */
-  lanesOf(kind: WorkKind): JobLane[] {
-    const lanes = this.lanes.get(kind);
-    if (!lanes) return [];
-    return [...lanes.values()].filter(lane => lane.live > 0);
+  /** Lanes of a class, with and without waiting jobs. */
+  lanesOf(kind: WorkKind): Iterable<JobLane> {
+    return this.lanes.get(kind)?.values() ?? [];
   }
 
   /** Whether the bounds leave room for another such job. */
@@ -88,6 +86,7 @@
       lane,
       reservationDeadline: Infinity,
       earmarks: [],
+      blockedAtVersion: -1,
     };
     lane.add(entry);
     this.expiry.push(entry);
--- a/packages/placement/src/job_spread.ts
+++ b/packages/placement/src/job_spread.ts
@@ -1,10 +1,12 @@
 import type {WorkerRecord} from './worker_record.js';
 
+type Counts = Map<string, number>;
+
 /** Counts the tasks of one job by zone, group and worker. */
 export class JobSpread {
-  private readonly zones = new Map<string, number>();
-  private readonly groups = new Map<string, number>();
-  private readonly workers = new Map<string, number>();
+  private readonly zones: Counts = new Map();
+  private readonly groups: Counts = new Map();
+  private readonly workers: Counts = new Map();
 
   private constructor() {}
 
--- a/packages/placement/src/queued_job.ts
+++ b/packages/placement/src/queued_job.ts
@@ -21,4 +21,6 @@
    */
   reservationDeadline: number;
   earmarks: Earmark[];
+  /** Version of the service's capacity at which nothing fitted, or -1. */
+  blockedAtVersion: number;
 }
--- a/packages/placement/src/reservation_ledger.ts
+++ b/packages/placement/src/reservation_ledger.ts
@@ -168,7 +168,7 @@
     this.account(record, Vectors.subtract);
     record.isPreempting = true;
     this.account(record, Vectors.add);
-    this.reindex(record.worker);
+    this.reindexFreed(record.worker);
   }
 
   /** Reserves an amount that belongs to no task yet. */
@@ -197,7 +197,7 @@
   /** Lets blocked jobs of the worker's services try again. */
   announceFreed(worker: WorkerRecord): void {
     for (const service of worker.definition.services) {
-      this.index(service).version++;
+      this.index(service).noteFreed(worker);
     }
   }
 
--- a/packages/placement/src/scheduler_settings.ts
+++ b/packages/placement/src/scheduler_settings.ts
@@ -14,6 +14,11 @@
   earmarkMilliseconds: z.int().positive().default(60_000),
   /** Part of a service's workers on which capacity may be kept at once. */
   earmarkedShare: z.number().positive().max(1).default(0.125),
+  /**
+   * Waiting batch jobs among which the best balanced one is placed next; 0
+   * places them in queue order.
+   */
+  batchWindow: z.int().nonnegative().default(0),
   /** Expired jobs that one pass reports at most. */
   expiryBatch: z.int().positive().default(512),
 });
--- a/packages/placement/src/service_index.ts
+++ b/packages/placement/src/service_index.ts
@@ -1,5 +1,6 @@
 import type {RandomSource} from '@cardamomfield/clock';
 import {FitTree} from './fit_tree.js';
+import type {Vector} from './vector.js';
 import {Vectors} from './vectors.js';
 import type {WorkerRecord} from './worker_record.js';
 
@@ -14,6 +15,9 @@
   trees: Map<TreeOrder, FitTree>;
 }
 
+/** Freed workers that are remembered; older ones cost a full search. */
+const FREED_LIMIT = 256;
+
 /**
  * Placeable workers that offer one service, by availability zone. A tree for
  * an order is built when a policy first asks for it, so that dimensions that
@@ -22,9 +26,14 @@
 export class ServiceIndex {
   /** Sum of the capacities of the workers. */
   readonly total = Vectors.zero();
-  /** Grows whenever capacity may have become available. */
-  version = 0;
+  /** Sum of what the workers have available. */
+  readonly available = Vectors.zero();
   private readonly zones = new Map<string, ZoneIndex>();
+  /** Trees over the workers of all zones. */
+  private readonly trees = new Map<TreeOrder, FitTree>();
+  /** The last workers whose availability grew, oldest first. */
+  private freed: WorkerRecord[] = [];
+  private forgotten = 0;
 
   private constructor(private readonly random: RandomSource) {}
 
@@ -32,6 +41,31 @@
     return new ServiceIndex(random);
   }
 
+  /** Grows whenever capacity may have become available. */
+  get version(): number {
+    return this.forgotten + this.freed.length;
+  }
+
+  /** Notes that the availability of a worker may have grown. */
+  noteFreed(worker: WorkerRecord): void {
+    this.freed.push(worker);
+    if (this.freed.length <= FREED_LIMIT) return;
+    this.forgotten += FREED_LIMIT >> 1;
+    this.freed = this.freed.slice(FREED_LIMIT >> 1);
+  }
+
+  /**
+   * Whether the demand may fit on a worker that was freed after the given
+   * version; true also when that is no longer known.
+   */
+  mayFitSince(version: number, demand: Vector): boolean {
+    if (version < this.forgotten) return true;
+    for (let i = version - this.forgotten; i < this.freed.length; i++) {
+      if (Vectors.fits(demand, this.freed[i]!.available)) return true;
+    }
+    return false;
+  }
+
   get zoneNames(): Iterable<string> {
     return this.zones.keys();
   }
@@ -51,8 +85,10 @@
     zone.workers.add(worker);
     zone.groups.set(worker.group, (zone.groups.get(worker.group) ?? 0) + 1);
     for (const tree of zone.trees.values()) tree.add(worker);
+    for (const tree of this.trees.values()) tree.add(worker);
     Vectors.add(this.total, worker.capacity);
-    this.version++;
+    Vectors.add(this.available, worker.available);
+    this.noteFreed(worker);
   }
 
   /** Must be called before the worker's zone, group or capacity changes. */
@@ -60,7 +96,9 @@
     const zone = this.zoneOf(worker.zone);
     if (!zone.workers.delete(worker)) return;
     for (const tree of zone.trees.values()) tree.remove(worker);
+    for (const tree of this.trees.values()) tree.remove(worker);
     Vectors.subtract(this.total, worker.capacity);
+    Vectors.subtract(this.available, worker.available);
     const inGroup = zone.groups.get(worker.group)! - 1;
     if (inGroup > 0) zone.groups.set(worker.group, inGroup);
     else zone.groups.delete(worker.group);
@@ -71,13 +109,34 @@
   update(worker: WorkerRecord): void {
     const zone = this.zones.get(worker.zone);
     if (!zone?.workers.has(worker)) return;
+    Vectors.add(this.available, worker.available);
+    Vectors.subtract(this.available, worker.previous);
     for (const tree of zone.trees.values()) tree.update(worker);
+    for (const tree of this.trees.values()) tree.update(worker);
+  }
+
+  /** All workers in the given order. */
+  tree(order: TreeOrder): FitTree {
+    return this.treeIn(this.trees, order, this.workers());
   }
 
   /** The workers of a zone in the given order. */
-  tree(zoneName: string, order: TreeOrder): FitTree {
+  zoneTree(zoneName: string, order: TreeOrder): FitTree {
     const zone = this.zoneOf(zoneName);
-    const existing = zone.trees.get(order);
+    return this.treeIn(zone.trees, order, zone.workers);
+  }
+
+  /** Groups of a zone that have placeable workers. */
+  groupsOf(zoneName: string): ReadonlyMap<string, number> {
+    return this.zoneOf(zoneName).groups;
+  }
+
+  private treeIn(
+    trees: Map<TreeOrder, FitTree>,
+    order: TreeOrder,
+    workers: Iterable<WorkerRecord>,
+  ): FitTree {
+    const existing = trees.get(order);
     if (existing) return existing;
     const tree = FitTree.create(
       order === 'position'
@@ -85,16 +144,11 @@
         : worker => worker.available[order]!,
       this.random,
     );
-    for (const worker of zone.workers) tree.add(worker);
-    zone.trees.set(order, tree);
+    for (const worker of workers) tree.add(worker);
+    trees.set(order, tree);
     return tree;
   }
 
-  /** Groups of a zone that have placeable workers. */
-  groupsOf(zoneName: string): ReadonlyMap<string, number> {
-    return this.zoneOf(zoneName).groups;
-  }
-
   private zoneOf(name: string): ZoneIndex {
     let zone = this.zones.get(name);
     if (!zone) {
--- a/packages/placement/src/worker_record.ts
+++ b/packages/placement/src/worker_record.ts
@@ -1,4 +1,5 @@
 import type {TaskRecord} from './task_record.js';
+import type {Vector} from './vector.js';
 import {Vectors} from './vectors.js';
 import type {WorkerDefinition} from './worker_definition.js';
 
@@ -17,6 +18,8 @@
   readonly lasting = Vectors.zero();
   /** What new tasks may use; negative where the worker is overcommitted. */
   readonly available = Vectors.zero();
+  /** What was available before the last refresh. */
+  readonly previous = Vectors.zero();
   capacity = Vectors.zero();
   /** The part of the capacity that the worker's weight allows. */
   usable = Vectors.zero();
@@ -72,7 +75,18 @@
     for (let d = 0; d < this.available.length; d++) {
       const free = this.usable[d]! - this.reserved[d]!;
       const later = free + this.preempting[d]! - this.earmarked[d]!;
+      this.previous[d] = this.available[d]!;
       this.available[d] = Math.min(free, later);
     }
   }
+
+  /** Whether a demand fits for which the worker has an earmark. */
+  fitsEarmarked(demand: Vector): boolean {
+    for (let d = 0; d < demand.length; d++) {
+      const free = this.usable[d]! - this.reserved[d]!;
+      if (free < demand[d]!) return false;
+      if (free + this.preempting[d]! < this.earmarked[d]!) return false;
+    }
+    return true;
+  }
 }
