--- a/packages/log-follower/src/log_follower.test.ts
+++ b/packages/log-follower/src/log_follower.test.ts
@@ -101,6 +101,15 @@
     fixture.stop();
   });
 
+  // Guards against a process that starts late because a stream is quiet.
+  it('is caught up at once on a quiet stream', async () => {
+    const fixture = new Fixture();
+    const {follower} = fixture.start();
+    await fixture.clock.advance(0);
+    expect(follower.isCaughtUp()).toBe(true);
+    fixture.stop();
+  });
+
   // Guards against an append that is repeated or given up although it took
   // effect, with and without the follower's own task.
   it.each([true, false])(
--- a/packages/log-follower/src/log_follower.ts
+++ b/packages/log-follower/src/log_follower.ts
@@ -117,12 +117,7 @@
     const backoff = this.createBackoff();
     this.isFollowing = true;
     while (!signal.aborted) {
-      const waitUntil = this.now() + this.settings.pollMilliseconds;
-      const deadline = waitUntil + this.settings.readMilliseconds;
-      const result = await unlessAborted(
-        this.readNext(deadline, waitUntil),
-        signal,
-      );
+      const result = await unlessAborted(this.readWaiting(), signal);
       if (!result) break;
       if (result.isRight()) backoff.reset();
       else await backoff.wait({signal});
@@ -263,6 +258,17 @@
     return {answerBy, expires, settledAt};
   }
 
+  /**
+   * Reads what follows, waiting for it once the tail has been reached. Until
+   * then nothing may wait: a quiet stream must not delay a starting process.
+   */
+  private readWaiting(): ReturnType<LogFollower<State>['readNext']> {
+    const {pollMilliseconds, readMilliseconds} = this.settings;
+    if (!this.caughtUp) return this.readNext(this.now() + readMilliseconds);
+    const waitUntil = this.now() + pollMilliseconds;
+    return this.readNext(waitUntil + readMilliseconds, waitUntil);
+  }
+
   /**
    * Reads and applies what follows; without a page, the stream was trimmed and
    * the state comes from a snapshot.
--- a/packages/request-journal/src/index.ts
+++ b/packages/request-journal/src/index.ts
@@ -1,2 +1,4 @@
 /** Intents and outcomes of non-idempotent requests on the log, in grouped appends. */
-export {};
+export * from './journal_entry.js';
+export * from './journal_settings.js';
+export * from './request_journal.js';
--- /dev/null
+++ b/packages/request-journal/src/journal_state.ts
@@ -0,0 +1,8 @@
+import type {JournalEntry} from './journal_entry.js';
+
+/** All entries that have not expired, in the order of their intents. */
+export interface JournalState {
+  entries: ReadonlyMap<string, JournalEntry>;
+  /** Latest instant of a record; entries expire by it. */
+  time: number;
+}
--- /dev/null
+++ b/packages/request-journal/src/request_journal.test.ts
@@ -0,0 +1,379 @@
+import {ManualClock, SeededRandomSource} from '@cardamomfield/clock';
+import {
+  InvalidInputError,
+  NotFoundError,
+  type TypedError,
+  UnavailableError,
+  UncertainError,
+} from '@cardamomfield/errors';
+import {SilentLogger} from '@cardamomfield/logger';
+import {MemoryMetrics} from '@cardamomfield/metrics';
+import {LogService, MemoryPlatformLog} from '@cardamomfield/platform-stand-ins';
+import type {FinalAnswer} from '@cardamomfield/types';
+import fc from 'fast-check';
+import type {Either} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import {RequestJournal} from './request_journal.js';
+
+type Settings = Parameters<typeof RequestJournal.create>[0]['settings'];
+type Intent = Parameters<RequestJournal['recordIntent']>[0];
+
+/** Calls that end before, about when, and after their append is settled. */
+const CALL_MILLISECONDS = [1_000, 4_000, 20_000];
+
+/** A log with the journals of several processes on one clock. */
+class Fixture {
+  readonly clock = ManualClock.create();
+  readonly service: LogService;
+  private count = 0;
+
+  constructor(settings: Partial<Parameters<typeof LogService.create>[0]> = {}) {
+    this.service = LogService.create({clock: this.clock, ...settings});
+  }
+
+  async start(settings: Settings = {}) {
+    this.count += 1;
+    const {clock, service} = this;
+    const log = MemoryPlatformLog.create({clock, service});
+    const metrics = MemoryMetrics.create();
+    const journal = RequestJournal.create({
+      log,
+      clock,
+      random: SeededRandomSource.create(this.count),
+      logger: SilentLogger.create(),
+      metrics,
+      writer: `host-${this.count}`,
+      settings,
+    });
+    const stopping = new AbortController();
+    const running = journal.run(stopping.signal);
+    await clock.advance(0);
+    const stop = () => stopping.abort();
+    return {journal, log, metrics, stop, running};
+  }
+
+  intent(key: string, bodyHash = 'hash', milliseconds = 60_000): Intent {
+    const deadline = this.clock.wallNow() + milliseconds;
+    return {key, bodyHash, coordinator: 'c', incarnation: 'i', deadline};
+  }
+
+  /** Moves time until the promise is settled. */
+  async settle<Value>(promise: Promise<Value>): Promise<Value> {
+    let isDone = false;
+    void promise.then(() => (isDone = true));
+    await this.clock.advance(0);
+    while (!isDone) await this.clock.advance(10);
+    return promise;
+  }
+
+  record(journal: RequestJournal, intent: Intent, milliseconds = 10_000) {
+    const deadline = this.clock.monotonicNow() + milliseconds;
+    return this.settle(journal.recordIntent(intent, deadline));
+  }
+
+  answer(journal: RequestJournal, answer: FinalAnswer) {
+    const deadline = this.clock.monotonicNow() + 10_000;
+    return this.settle(journal.recordOutcome(answer, deadline));
+  }
+}
+
+function ran(key: string, value: string): FinalAnswer {
+  const result = {index: 0, succeeded: true, worker: 'w', value};
+  return {outcome: 'ran', key, results: [result]};
+}
+
+function unknown(key: string): FinalAnswer {
+  return {outcome: 'unknown', key, reason: {code: 'uncertain', message: '?'}};
+}
+
+describe('RequestJournal', () => {
+  // Guards against two coordinators that both start one request.
+  it('names the same winner in all processes', async () => {
+    const fixture = new Fixture();
+    const hosts = [await fixture.start(), await fixture.start()];
+    const deadline = fixture.clock.monotonicNow() + 5_000;
+    const results = await fixture.settle(
+      Promise.all(
+        hosts.map(({journal}, host) =>
+          journal.recordIntent(fixture.intent('k', `body-${host}`), deadline),
+        ),
+      ),
+    );
+    const found = results.map(result => result.unsafeCoerce());
+    expect(found.map(result => result.isFirst).sort()).toEqual([false, true]);
+    expect(found[0]!.entry).toEqual(found[1]!.entry);
+    const third = await fixture.start();
+    const late = await fixture.record(third.journal, fixture.intent('k'));
+    expect(late.unsafeCoerce()).toEqual({
+      isFirst: false,
+      entry: found[0]!.entry,
+    });
+    expect(third.journal.find('k')).toMatchObject({
+      coordinator: 'c',
+      incarnation: 'i',
+      deadline: fixture.clock.wallNow() + 60_000,
+    });
+  });
+
+  // Guards against a request that is started twice because the answer to its
+  // intent was lost.
+  it('finds out about an intent whose answer was lost', async () => {
+    const fixture = new Fixture();
+    const {journal} = await fixture.start();
+    fixture.service.faults.set({loseAnswers: 1});
+    const result = await fixture.record(journal, fixture.intent('k'));
+    expect(result.unsafeCoerce().isFirst).toBe(true);
+    expect(fixture.service.appends()).toBe(1);
+  });
+
+  // Guards against requests that wait for a log that is known to be down, and
+  // against an untruthful not-run.
+  it('refuses at once while the log is down', async () => {
+    const fixture = new Fixture();
+    const {journal} = await fixture.start();
+    fixture.service.faults.set({silent: true});
+    await fixture.clock.advance(10_000);
+    const before = fixture.clock.monotonicNow();
+    const result = await fixture.record(journal, fixture.intent('k'));
+    expect(result.swap().extract()).toBeInstanceOf(UnavailableError);
+    expect(fixture.clock.monotonicNow()).toBe(before);
+    fixture.service.faults.clear();
+    await fixture.clock.advance(5_000);
+    const retried = await fixture.record(journal, fixture.intent('k'));
+    expect(retried.unsafeCoerce().isFirst).toBe(true);
+  });
+
+  // Guards against a coordinator that waits longer than its caller.
+  it('ends at the deadline of the call, in doubt once sent', async () => {
+    const fixture = new Fixture();
+    const {journal, log} = await fixture.start();
+    log.faults.set({holdWrites: true});
+    const deadline = fixture.clock.monotonicNow() + 100;
+    const sent = journal.recordIntent(fixture.intent('sent'), deadline);
+    await fixture.clock.advance(1);
+    const queued = journal.recordIntent(fixture.intent('queued'), deadline);
+    await fixture.clock.advance(99);
+    expect((await sent).swap().extract()).toBeInstanceOf(UncertainError);
+    expect((await queued).swap().extract()).toBeInstanceOf(UnavailableError);
+    log.faults.clear();
+    await fixture.clock.advance(1_000);
+    expect(journal.find('sent')).toBeDefined();
+    expect(journal.find('queued')).toBeUndefined();
+  });
+
+  // Guards against a `not-run` for a request whose intent stands.
+  it('stays in doubt while the log can not be read', async () => {
+    const fixture = new Fixture();
+    const {journal, log} = await fixture.start();
+    log.faults.set({loseAnswers: 1, answerDelayMilliseconds: 1});
+    const result = fixture.record(journal, fixture.intent('k'), 20_000);
+    await fixture.clock.advance(0);
+    log.faults.set({silent: true});
+    expect((await result).swap().extract()).toBeInstanceOf(UncertainError);
+    log.faults.clear();
+    await fixture.clock.advance(5_000);
+    expect(journal.find('k')).toBeDefined();
+  });
+
+  // Guards against an append for each request and against more appends than
+  // this process's share.
+  it('groups what arrives meanwhile and keeps to its rate', async () => {
+    const fixture = new Fixture();
+    const {journal} = await fixture.start();
+    const results: Array<Promise<Either<TypedError, unknown>>> = [];
+    for (let instant = 0; instant < 2_000; instant += 2) {
+      const deadline = fixture.clock.monotonicNow() + 5_000;
+      const intent = fixture.intent(`k-${instant}`);
+      results.push(journal.recordIntent(intent, deadline));
+      await fixture.clock.advance(2);
+    }
+    await fixture.clock.advance(100);
+    expect(fixture.service.appends()).toBeLessThanOrEqual(42);
+    for (const result of results) expect((await result).isRight()).toBe(true);
+  });
+
+  // Guards against batches that the log refuses for their size.
+  it('caps the records and the length of a batch', async () => {
+    const fixture = new Fixture();
+    const first = await fixture.start({recordsPerAppend: 10});
+    const second = await fixture.start({charactersPerAppend: 500});
+    for (const [{journal}, name] of [
+      [first, 'a'],
+      [second, 'b'],
+    ] as const) {
+      const before = fixture.service.appends();
+      const deadline = fixture.clock.monotonicNow() + 5_000;
+      const results = Array.from({length: 41}, (_, index) =>
+        journal.recordIntent(
+          fixture.intent(`${name}${index}`, 'h'.repeat(97)),
+          deadline,
+        ),
+      );
+      await fixture.settle(Promise.all(results));
+      const appends = fixture.service.appends() - before;
+      expect(appends).toBeGreaterThanOrEqual(5);
+      expect(appends).toBeLessThanOrEqual(12);
+    }
+  });
+
+  // Guards against an answer that changes, and against an `unknown` that hides
+  // the result for good.
+  it('keeps the first answer that is not unknown', async () => {
+    const fixture = new Fixture();
+    const hosts = [await fixture.start(), await fixture.start()];
+    const [first, second] = hosts.map(host => host.journal);
+    const missing = await fixture.answer(first!, unknown('k'));
+    expect(missing.swap().extract()).toBeInstanceOf(NotFoundError);
+    await fixture.record(first!, fixture.intent('k'));
+    for (const [answer, standing] of [
+      [unknown('k'), unknown('k')],
+      [ran('k', 'one'), ran('k', 'one')],
+      [ran('k', 'two'), ran('k', 'one')],
+      [unknown('k'), ran('k', 'one')],
+    ] as const) {
+      const result = await fixture.answer(first!, answer);
+      expect(result.extract()).toEqual(standing);
+    }
+    expect(second!.find('k')!.answer).toEqual(ran('k', 'one'));
+    const deadline = fixture.clock.monotonicNow() + 10_000;
+    await fixture.record(first!, fixture.intent('l'));
+    const racing = await fixture.settle(
+      Promise.all([
+        first!.recordOutcome(ran('l', 'one'), deadline),
+        second!.recordOutcome(ran('l', 'two'), deadline),
+      ]),
+    );
+    expect(racing[0].extract()).toEqual(racing[1].extract());
+  });
+
+  // Guards against an entry that is forgotten before its request's deadline,
+  // and against processes that forget it at different offsets.
+  it('forgets entries by the instants of the records only', async () => {
+    const settings = {expiryMilliseconds: 10_000};
+    const fixture = new Fixture();
+    const early = await fixture.start(settings);
+    const tooFar = fixture.intent('k', 'h', 10_000);
+    const refused = await fixture.record(early.journal, tooFar);
+    expect(refused.swap().extract()).toBeInstanceOf(InvalidInputError);
+    await fixture.record(early.journal, fixture.intent('k', 'old', 5_000));
+    await fixture.clock.advance(9_000);
+    await fixture.record(early.journal, fixture.intent('a', 'h', 5_000));
+    expect(early.journal.find('k')).toBeDefined();
+    // Time alone changes nothing: a state is a function of its offset.
+    await fixture.clock.advance(5_000);
+    const late = await fixture.start(settings);
+    expect([...late.journal.entries()]).toEqual([...early.journal.entries()]);
+    expect(early.journal.find('k')).toBeDefined();
+    await fixture.record(early.journal, fixture.intent('b', 'h', 5_000));
+    expect(early.journal.find('k')).toBeUndefined();
+    const again = fixture.intent('k', 'new', 5_000);
+    const result = await fixture.record(late.journal, again);
+    expect(result.unsafeCoerce().isFirst).toBe(true);
+    expect([...late.journal.entries()]).toEqual([...early.journal.entries()]);
+  });
+
+  // Guards against winners that are lost when the log drops old records.
+  it('keeps its entries when the log is trimmed', async () => {
+    const fixture = new Fixture({retentionRecords: 30});
+    const settings = {follower: {snapshotAfterRecords: 10}};
+    const host = await fixture.start(settings);
+    for (let index = 0; index < 100; index += 1) {
+      await fixture.record(host.journal, fixture.intent(`k${index}`));
+      await fixture.clock.advance(50);
+    }
+    const late = await fixture.start(settings);
+    await fixture.clock.advance(10);
+    expect([...late.journal.entries()]).toHaveLength(100);
+    expect([...late.journal.entries()]).toEqual([...host.journal.entries()]);
+  });
+
+  // Guards, over random faults and restarts, against a second winner for one
+  // key, against processes that name different winners, and against an intent
+  // that wins after it was reported as without effect.
+  it('agrees on one winner for each key under random faults', async () => {
+    const host = fc.nat(2);
+    const key = fc.constantFrom('a', 'b', 'c');
+    const flag = fc.boolean();
+    const step = fc.oneof(
+      {weight: 8, arbitrary: fc.record({host, intent: key})},
+      {weight: 2, arbitrary: fc.record({host, outcome: key})},
+      {
+        weight: 5,
+        arbitrary: fc.record({pass: fc.integer({min: 1, max: 2_000})}),
+      },
+      {weight: 1, arbitrary: fc.record({at: fc.nat(3), outage: flag})},
+      {weight: 1, arbitrary: fc.record({at: fc.nat(3), silent: flag})},
+      {weight: 1, arbitrary: fc.record({at: fc.nat(2), holdWrites: flag})},
+      {
+        weight: 2,
+        arbitrary: fc.record({at: fc.nat(3), loseAnswers: fc.nat(2)}),
+      },
+      {weight: 1, arbitrary: fc.record({restart: host})},
+    );
+    const steps = fc.array(step, {minLength: 10, maxLength: 50});
+    await fc.assert(
+      fc.asyncProperty(steps, async chosen => {
+        const fixture = new Fixture();
+        const hosts: Array<Awaited<ReturnType<Fixture['start']>>> = [];
+        for (let count = 0; count < 3; count += 1) {
+          hosts.push(await fixture.start());
+        }
+        const gateAt = (at: number) =>
+          (hosts[at]?.log ?? fixture.service).faults;
+        const calls: Array<{
+          intent: Intent;
+          result: ReturnType<RequestJournal['recordIntent']>;
+        }> = [];
+        for (const [number, entry] of chosen.entries()) {
+          const now = fixture.clock.monotonicNow();
+          const deadline = now + CALL_MILLISECONDS[number % 3]!;
+          if ('intent' in entry) {
+            const intent = fixture.intent(entry.intent, `${number}`);
+            const {journal} = hosts[entry.host]!;
+            const result = journal.recordIntent(intent, deadline);
+            calls.push({intent, result});
+          } else if ('outcome' in entry) {
+            const answer = ran(entry.outcome, `${number}`);
+            void hosts[entry.host]!.journal.recordOutcome(answer, deadline);
+          } else if ('pass' in entry) {
+            await fixture.clock.advance(entry.pass);
+          } else if ('restart' in entry) {
+            hosts[entry.restart]!.stop();
+            hosts[entry.restart] = await fixture.start();
+          } else {
+            const {at, ...faults} = entry;
+            gateAt(at).set(faults);
+          }
+        }
+        await fixture.clock.advance(15_000);
+        for (const at of [0, 1, 2, 3]) gateAt(at).clear();
+        await fixture.clock.advance(15_000);
+
+        const entries = [...hosts[0]!.journal.entries()];
+        for (const {journal} of hosts) {
+          expect([...journal.entries()]).toEqual(entries);
+        }
+        const winners = new Map(entries.map(found => [found.key, found]));
+        const firsts = new Map<string, number>();
+        for (const {intent, result} of calls) {
+          const winner = winners.get(intent.key);
+          const isWinner = winner?.bodyHash === intent.bodyHash;
+          (await result).caseOf({
+            Right: ({isFirst, entry: found}) => {
+              expect(found.bodyHash).toBe(winner!.bodyHash);
+              expect(isFirst).toBe(isWinner);
+              const count = firsts.get(intent.key) ?? 0;
+              firsts.set(intent.key, count + (isFirst ? 1 : 0));
+              expect(firsts.get(intent.key)).toBeLessThanOrEqual(1);
+            },
+            Left: failure => {
+              if (isWinner) expect(failure).toBeInstanceOf(UncertainError);
+            },
+          });
+        }
+        for (const {stop} of hosts) stop();
+      }),
+      {seed: 20_261_204, numRuns: 300},
+    );
+  });
+});
