--- a/packages/log-follower/src/pending_append.ts
+++ b/packages/log-follower/src/pending_append.ts
@@ -24,6 +24,7 @@
   /** Notes the record; a second one of the same append changes nothing. */
   resolve(outcome: Outcome): void {
     this.result ??= outcome;
-    this.controller.abort();
+    // Without a reason, each abort would build a stack trace.
+    this.controller.abort('the record was read');
   }
 }
--- a/packages/platform-http/src/http_caller.ts
+++ b/packages/platform-http/src/http_caller.ts
@@ -25,6 +25,9 @@
  */
 const DEFAULT_CLOCK_SKEW_MILLISECONDS = 500;
 
+/** Reason of aborts; without one, each abort builds a stack trace. */
+const FINISHED = 'the call is finished';
+
 interface HttpCallerOptions {
   /** Base URL by IP number, for example `http://127.0.0.1:7000`. */
   address: string;
@@ -88,7 +91,7 @@
     const finished = new AbortController();
     void this.watchDeadline(options.deadline, exchange, finished.signal);
     const result = await exchange.finished;
-    finished.abort();
+    finished.abort(FINISHED);
     return result.chain(answer =>
       interpret(target, answer.status, answer.text, options.schema),
     );
--- a/packages/platform-stand-ins/src/memory_link.ts
+++ b/packages/platform-stand-ins/src/memory_link.ts
@@ -8,6 +8,9 @@
 import type {Exchange} from './exchange.js';
 import {FaultGate} from './fault_gate.js';
 
+/** Reason of aborts; without one, each abort builds a stack trace. */
+const FINISHED = 'the call is finished';
+
 interface CallOptions<Failure extends TypedError, Answer> {
   isWrite: boolean;
   deadline: number;
@@ -67,7 +70,7 @@
       result.kind === 'silent' ? expired : result,
     );
     const result = await Promise.race([answered, expired]);
-    finished.abort();
+    finished.abort(FINISHED);
     return result;
   }
 }
--- a/packages/platform-stand-ins/src/notifier.ts
+++ b/packages/platform-stand-ins/src/notifier.ts
@@ -1,5 +1,8 @@
 import type {Clock} from '@cardamomfield/clock';
 
+/** Reason of aborts; without one, each abort builds a stack trace. */
+const CHANGED = 'something changed';
+
 /** Wakes all who wait for a change. */
 export class Notifier {
   private readonly waiting = new Set<AbortController>();
@@ -13,7 +16,7 @@
   notify(): void {
     const woken = [...this.waiting];
     this.waiting.clear();
-    for (const controller of woken) controller.abort();
+    for (const controller of woken) controller.abort(CHANGED);
   }
 
   /** Resolves at the next notification or at the monotonic deadline. */
--- a/packages/request-journal/src/group_commit.ts
+++ b/packages/request-journal/src/group_commit.ts
@@ -12,6 +12,10 @@
 import type {JournalSettings} from './journal_settings.js';
 import type {JournalState} from './journal_state.js';
 
+/** Reason of aborts; without one, each abort builds a stack trace. */
+const ARRIVED = 'an item arrived';
+const FINISHED = 'the item is finished';
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 type Place = {offset: number; index: number};
@@ -43,22 +47,24 @@
    */
   async add(item: JournalItem): Promise<Either<TypedError, Place>> {
     this.queue.push(item);
-    this.arrival.abort();
+    this.arrival.abort(ARRIVED);
     const {clock} = this.options;
     const finished = new AbortController();
     const expired = clock
       .sleepUntil(item.options.deadline, finished.signal)
-      .then(() => this.expire(item));
+      .then(() => undefined);
     const result = await Promise.race([item.done, expired]);
-    finished.abort();
-    return result;
+    finished.abort(FINISHED);
+    return result ?? this.expire(item);
   }
 
   /** Appends batches until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const {clock, settings} = this.options;
     const interval = MILLISECONDS_PER_SECOND / settings.appendsPerSecond;
-    signal.addEventListener('abort', () => this.arrival.abort(), {once: true});
+    signal.addEventListener('abort', () => this.arrival.abort(ARRIVED), {
+      once: true,
+    });
     while (!signal.aborted) {
       await this.waitForItems(signal);
       if (signal.aborted) break;
@@ -103,7 +109,7 @@
     const header = {by: items[0]!.options.by, at: clock.wallNow()};
     const body = journalBatch.encode({
       ...header,
-      items: items.map(item => item.options.encode(header)) as never,
+      items: items.map(item => item.options.encode(header)),
     });
     const sentAt = clock.monotonicNow();
     const deadline = sentAt + settings.appendMilliseconds;
--- a/packages/request-journal/src/journal_batch.ts
+++ b/packages/request-journal/src/journal_batch.ts
@@ -1,38 +1,43 @@
 import {compactJson} from '@cardamomfield/log-follower';
-import {FinalAnswer, RequestKey} from '@cardamomfield/types';
+import {RequestKey} from '@cardamomfield/types';
 import {z} from 'zod';
 
-/**
- * Key, hash of the body and deadline relative to the base of the batch. The
- * coordinator and its incarnation follow where they differ from the batch's.
- */
-const Intent = z
-  .tuple([RequestKey, z.string(), z.int()])
-  .or(z.tuple([RequestKey, z.string(), z.int(), z.string(), z.string()]));
+/** Key, hash of the body and deadline relative to the base of the batch. */
+const Intent = z.tuple([RequestKey, z.string(), z.int()]);
 
-/** Offset and index of the intent, and the answer to its request. */
+/** An intent with coordinator and incarnation other than the batch's. */
+const ForeignIntent = z.tuple([
+  RequestKey,
+  z.string(),
+  z.int(),
+  z.string(),
+  z.string(),
+]);
+
+/** Offset and index of the intent, and the answer without its key. */
 const Outcome = z.tuple([
   z.int().nonnegative(),
   z.int().nonnegative(),
-  FinalAnswer,
+  z.record(z.string(), z.unknown()),
 ]);
 
-const Batch = z.object({
+const Envelope = z.object({
   /** Coordinator and incarnation of most intents. */
   by: z.tuple([z.string(), z.string()]),
   /** Wall-clock instant to which deadlines are relative. */
   at: z.int(),
-  items: z.array(Intent.or(Outcome)),
+  items: z.array(z.array(z.unknown())),
 });
 
-type Batch = z.infer<typeof Batch>;
+type Item = z.infer<typeof Intent | typeof ForeignIntent | typeof Outcome>;
+type Batch = Omit<z.infer<typeof Envelope>, 'items'> & {items: Item[]};
 
 /** Batches shorter than this do not gain from compression. */
 const MINIMUM_COMPRESSED_LENGTH = 200;
 
 /** The body of one record of the journal. */
 export const journalBatch = {
-  encode(batch: Batch): unknown {
+  encode(batch: z.infer<typeof Envelope>): unknown {
     if (JSON.stringify(batch).length < MINIMUM_COMPRESSED_LENGTH) return batch;
     return compactJson.encode(batch);
   },
@@ -40,6 +45,20 @@
   /** The batch, or undefined when the body is not one. */
   decode(body: unknown): Batch | undefined {
     const value = typeof body === 'string' ? compactJson.decode(body) : body;
-    return Batch.safeParse(value).data;
+    const envelope = Envelope.safeParse(value).data;
+    if (!envelope) return undefined;
+    const items: Item[] = [];
+    for (const candidate of envelope.items) {
+      // A union would try each alternative on every item and build an error.
+      const item = schemaOf(candidate).safeParse(candidate).data;
+      if (!item) return undefined;
+      items.push(item);
+    }
+    return {...envelope, items};
   },
 };
+
+function schemaOf(item: readonly unknown[]): z.ZodType<Item> {
+  if (typeof item[0] === 'number') return Outcome;
+  return item.length === 3 ? Intent : ForeignIntent;
+}
--- a/packages/request-journal/src/journal_fold.ts
+++ b/packages/request-journal/src/journal_fold.ts
@@ -1,14 +1,22 @@
 import {InvalidInputError} from '@cardamomfield/errors';
 import type {StreamFold} from '@cardamomfield/log-follower';
 import type {LogRecord} from '@cardamomfield/platform';
-import type {FinalAnswer} from '@cardamomfield/types';
+import {FinalAnswer} from '@cardamomfield/types';
 import {z} from 'zod';
 import {journalBatch} from './journal_batch.js';
 import {JournalEntry} from './journal_entry.js';
 import type {JournalState} from './journal_state.js';
 
 type Batch = NonNullable<ReturnType<typeof journalBatch.decode>>;
-type Entries = Map<string, JournalEntry>;
+type Item = Batch['items'][number];
+type OutcomeItem = Extract<Item, [number, number, unknown]>;
+type IntentItem = Exclude<Item, OutcomeItem>;
+
+/** The maps of a state, for the fold only. */
+interface Tables {
+  entries: Map<string, JournalEntry>;
+  places: Map<string, string>;
+}
 
 const Snapshot = z.object({time: z.int(), entries: z.array(JournalEntry)});
 
@@ -26,7 +34,7 @@
   }
 
   initial(): JournalState {
-    return {entries: new Map(), time: 0};
+    return {entries: new Map(), places: new Map(), time: 0};
   }
 
   /**
@@ -37,14 +45,14 @@
   apply(state: JournalState, record: LogRecord): JournalState {
     const batch = journalBatch.decode(record.body);
     if (!batch) throw InvalidInputError.create('the record is not a batch');
-    const entries = state.entries as Entries;
+    const tables = state as JournalState & Tables;
     const time = Math.max(state.time, record.appendedAt);
-    this.forgetExpired(entries, time);
+    this.forgetExpired(tables, time);
     for (const [index, item] of batch.items.entries()) {
-      if (isOutcome(item)) applyOutcome(entries, item);
-      else applyIntent(entries, batch, item, {...record, index, time});
+      if (isOutcome(item)) applyOutcome(tables, item);
+      else applyIntent(tables, batch, item, {...record, index, time});
     }
-    return {entries, time};
+    return {entries: tables.entries, places: tables.places, time};
   }
 
   toSnapshot(state: JournalState): unknown {
@@ -55,35 +63,41 @@
     const parsed = Snapshot.safeParse(snapshot);
     if (!parsed.success) return undefined;
     const {time, entries} = parsed.data;
-    return {time, entries: new Map(entries.map(entry => [entry.key, entry]))};
+    return {
+      time,
+      entries: new Map(entries.map(entry => [entry.key, entry])),
+      places: new Map(entries.map(entry => [placeOf(entry), entry.key])),
+    };
   }
 
-  private forgetExpired(entries: Entries, time: number): void {
+  private forgetExpired(tables: Tables, time: number): void {
     // The map is in the order of intents, and so of expiry.
-    for (const [key, entry] of entries) {
+    for (const [key, entry] of tables.entries) {
       if (entry.recordedAt + this.expiry > time) return;
-      entries.delete(key);
+      tables.entries.delete(key);
+      tables.places.delete(placeOf(entry));
     }
   }
 }
 
-type Item = Batch['items'][number];
-type OutcomeItem = [number, number, FinalAnswer];
-type IntentItem = Exclude<Item, OutcomeItem>;
+function placeOf(place: {offset: number; index: number}): string {
+  return `${place.offset}~${place.index}`;
+}
 
 function isOutcome(item: Item): item is OutcomeItem {
   return typeof item[0] === 'number';
 }
 
 function applyIntent(
-  entries: Entries,
+  tables: Tables,
   batch: Batch,
   item: IntentItem,
   record: {offset: number; index: number; time: number},
 ): void {
   const [key, bodyHash, deadline, coordinator, incarnation] = item;
-  if (entries.has(key)) return;
-  entries.set(key, {
+  if (tables.entries.has(key)) return;
+  tables.places.set(placeOf(record), key);
+  tables.entries.set(key, {
     key,
     bodyHash,
     coordinator: coordinator ?? batch.by[0],
@@ -96,11 +110,14 @@
 }
 
 function applyOutcome(
-  entries: Entries,
-  [offset, index, answer]: OutcomeItem,
+  tables: Tables,
+  [offset, index, keyless]: OutcomeItem,
 ): void {
-  const entry = entries.get(answer.key);
-  if (!entry || entry.offset !== offset || entry.index !== index) return;
+  const key = tables.places.get(placeOf({offset, index}));
+  const entry = key === undefined ? undefined : tables.entries.get(key);
+  if (!entry) return;
   if (entry.answer && entry.answer.outcome !== 'unknown') return;
-  entries.set(answer.key, {...entry, answer});
+  const answer = FinalAnswer.safeParse({...keyless, key});
+  if (!answer.success) return;
+  tables.entries.set(entry.key, {...entry, answer: answer.data});
 }
--- a/packages/request-journal/src/journal_item.ts
+++ b/packages/request-journal/src/journal_item.ts
@@ -6,7 +6,7 @@
 
 interface JournalItemOptions {
   /** Makes the item's part of a batch with the given base. */
-  encode: (batch: {by: [string, string]; at: number}) => unknown;
+  encode: (batch: {by: [string, string]; at: number}) => unknown[];
   /** Coordinator and incarnation, for a batch that begins with this item. */
   by: [string, string];
   /** Length of the item as JSON, for the cap on a batch. */
--- a/packages/request-journal/src/request_journal.ts
+++ b/packages/request-journal/src/request_journal.ts
@@ -201,11 +201,13 @@
   answer: FinalAnswer,
   deadline: number,
 ): JournalItem {
+  // The key is that of the intent, which the place identifies.
+  const {key: _key, ...keyless} = answer;
   return JournalItem.create({
     by: [entry.coordinator, entry.incarnation],
     deadline,
-    length: JSON.stringify(answer).length,
-    encode: () => [entry.offset, entry.index, answer],
+    length: JSON.stringify(keyless).length,
+    encode: () => [entry.offset, entry.index, keyless],
   });
 }
 
