--- a/packages/bench/src/journal_bench.ts
+++ b/packages/bench/src/journal_bench.ts
@@ -1,34 +1,35 @@
-import {
-  type Clock,
-  SeededRandomSource,
-  SystemClock,
-} from '@cardamomfield/clock';
-import {SilentLogger} from '@cardamomfield/logger';
-import {MemoryMetrics} from '@cardamomfield/metrics';
-import {LogService, MemoryPlatformLog} from '@cardamomfield/platform-stand-ins';
-import {RequestJournal} from '@cardamomfield/request-journal';
-import {build, type Histogram} from 'hdr-histogram-js';
+import {once} from 'node:events';
+import {Worker} from 'node:worker_threads';
+import {SystemClock} from '@cardamomfield/clock';
+import {LogServer, LogService} from '@cardamomfield/platform-stand-ins';
+import {build, decodeFromCompressedBase64} from 'hdr-histogram-js';
 
 const PROCESSES = 9;
 const RATES = [10, 100, 1_000, 5_000];
-const WARM_UP_MILLISECONDS = 1_000;
-const MEASURED_MILLISECONDS = 5_000;
+
+/** Time for the threads to start. */
+const START_MILLISECONDS = 2_000;
+const WARM_UP_MILLISECONDS = 3_000;
+const MEASURED_MILLISECONDS = 8_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Time from a host to the log service, and back. */
+/** Added to the time from a host to the log service, and back. */
 const LOG_LATENCY_MILLISECONDS = 1;
 
-/** Time that one request may wait for its intent. */
-const CALL_MILLISECONDS = 4_000;
-
-/** Lifetime of a request. */
-const REQUEST_MILLISECONDS = 60_000;
-
 const SEED = 20_261_204;
 
 /** Latencies are recorded in thousandths of a millisecond. */
 const UNITS_PER_MILLISECOND = 1_000;
 
+interface WorkerReport {
+  recorded: number;
+  failed: number;
+  /** Share of the time in which the thread's event loop was busy. */
+  utilization: number;
+  /** Histogram, encoded. */
+  waits: string;
+}
+
 interface JournalBenchResult {
   requestsPerSecond: number;
   /** Intents that were recorded, and those that failed. */
@@ -38,26 +39,15 @@
   itemsPerAppend: number;
   /** Time from a request's arrival until its intent has been read back. */
   waitMilliseconds: {p50: number; p99: number; highest: number};
-  /** Bodies of records, without the envelope of the transport. */
+  /** Bodies of records with their envelope, without HTTP. */
   kilobytesPerSecond: {writtenByEach: number; readByEach: number};
-  /** Processor time of all processes, divided by their number. */
-  processorShareOfEach: number;
-}
-
-interface Run {
-  rate: number;
-  clock: Clock;
-  service: LogService;
-  journals: RequestJournal[];
-  random: SeededRandomSource;
-  waits: Histogram;
-  counts: {recorded: number; failed: number};
+  /** Mean share of busy time of a process, with its load generator. */
+  busyShareOfEach: number;
 }
 
 /**
- * Measures the journal with nine processes that share one log, each request
- * with an intent and an outcome. All processes run on one thread, so at high
- * rates the waiting time includes the work of the other eight.
+ * Measures the journal with nine processes, as threads that share one log over
+ * HTTP. Each request has an intent and an outcome.
  */
 export async function runJournalBench(
   rates: readonly number[] = RATES,
@@ -78,136 +68,75 @@
     delayMilliseconds: LOG_LATENCY_MILLISECONDS,
     answerDelayMilliseconds: LOG_LATENCY_MILLISECONDS,
   });
-  const journals = Array.from({length: PROCESSES}, (_, index) =>
-    createJournal(clock, service, index),
-  );
-  const stopping = journals.map(() => new AbortController());
-  const running = journals.map((journal, index) =>
-    journal.run(stopping[index]!.signal),
+  const server = await LogServer.create({service, clock});
+  const warmUpAt = clock.wallNow() + START_MILLISECONDS;
+  const measureAt = warmUpAt + WARM_UP_MILLISECONDS;
+  const endAt = measureAt + MEASURED_MILLISECONDS;
+  const reports = await Promise.all(
+    Array.from({length: PROCESSES}, (_, index) =>
+      runWorker({
+        address: server.address(),
+        index,
+        seed: SEED,
+        rate: rate / PROCESSES,
+        warmUpAt,
+        measureAt,
+        endAt,
+      }),
+    ),
   );
-  const run: Run = {
-    rate,
-    clock,
-    service,
-    journals,
-    random: SeededRandomSource.create(SEED),
-    waits: build({numberOfSignificantValueDigits: 3}),
-    counts: {recorded: 0, failed: 0},
-  };
-  await submit(run, WARM_UP_MILLISECONDS);
-  const result = await measureSteady(run);
-  for (const controller of stopping) controller.abort();
-  await Promise.all(running);
-  return result;
+  await server.close();
+  const bodies = service
+    .records('journal')
+    .filter(({appendedAt}) => appendedAt >= measureAt && appendedAt < endAt)
+    .map(record => JSON.stringify(record.body).length);
+  return summarise(rate, reports, bodies);
 }
 
-function createJournal(
-  clock: Clock,
-  service: LogService,
-  index: number,
-): RequestJournal {
-  return RequestJournal.create({
-    log: MemoryPlatformLog.create({clock, service}),
-    clock,
-    random: SeededRandomSource.create(SEED + index),
-    logger: SilentLogger.create(),
-    metrics: MemoryMetrics.create(),
-    writer: `host-${index}/1`,
-  });
+async function runWorker(workerData: unknown): Promise<WorkerReport> {
+  const file = new URL('./journal_bench_worker.js', import.meta.url);
+  const worker = new Worker(file, {workerData});
+  const exited = once(worker, 'exit');
+  const [report] = (await once(worker, 'message')) as [WorkerReport];
+  await exited;
+  return report;
 }
 
-async function measureSteady(run: Run): Promise<JournalBenchResult> {
-  const {service, waits, counts} = run;
-  waits.reset();
-  counts.recorded = 0;
-  counts.failed = 0;
-  const firstRecord = service.records('journal').length;
-  const processor = process.cpuUsage();
-  await submit(run, MEASURED_MILLISECONDS);
-  const used = process.cpuUsage(processor);
+function summarise(
+  rate: number,
+  reports: readonly WorkerReport[],
+  bodies: readonly number[],
+): JournalBenchResult {
+  const sum = (values: readonly number[]) =>
+    values.reduce((total, value) => total + value, 0);
   const seconds = MEASURED_MILLISECONDS / MILLISECONDS_PER_SECOND;
-  const records = service.records('journal').slice(firstRecord);
-  const bytes = records.reduce(
-    (sum, record) => sum + JSON.stringify(record.body).length,
-    0,
-  );
-  const written = bytes / seconds / MILLISECONDS_PER_SECOND;
-  const items = 2 * counts.recorded;
-  const processorSeconds = (used.user + used.system) / 1e6;
+  const waits = build({numberOfSignificantValueDigits: 3});
+  for (const report of reports) {
+    waits.add(decodeFromCompressedBase64(report.waits));
+  }
+  const percentile = (value: number) =>
+    round(waits.getValueAtPercentile(value) / UNITS_PER_MILLISECOND);
+  const recorded = sum(reports.map(report => report.recorded));
+  const read = sum(bodies) / seconds / MILLISECONDS_PER_SECOND;
   return {
-    requestsPerSecond: run.rate,
-    ...counts,
-    appendsPerSecond: records.length / seconds,
-    itemsPerAppend: round(items / records.length),
+    requestsPerSecond: rate,
+    recorded,
+    failed: sum(reports.map(report => report.failed)),
+    appendsPerSecond: round(bodies.length / seconds),
+    itemsPerAppend: round((2 * recorded) / bodies.length),
     waitMilliseconds: {
-      p50: round(waits.getValueAtPercentile(50) / UNITS_PER_MILLISECOND),
-      p99: round(waits.getValueAtPercentile(99) / UNITS_PER_MILLISECOND),
-      highest: round(waits.maxValue / UNITS_PER_MILLISECOND),
+      p50: percentile(50),
+      p99: percentile(99),
+      highest: percentile(100),
     },
     kilobytesPerSecond: {
-      writtenByEach: round(written / PROCESSES),
-      readByEach: round(written),
+      writtenByEach: round(read / PROCESSES),
+      readByEach: round(read),
     },
-    processorShareOfEach: round(processorSeconds / seconds / PROCESSES),
-  };
-}
-
-/** Sends requests at their planned instants, whatever the earlier ones do. */
-async function submit(run: Run, milliseconds: number): Promise<void> {
-  const {clock, rate} = run;
-  const begin = clock.monotonicNow();
-  const total = Math.floor((rate * milliseconds) / MILLISECONDS_PER_SECOND);
-  const requests: Array<Promise<void>> = [];
-  for (let number = 0; number < total; number += 1) {
-    const dueAt = begin + (number * MILLISECONDS_PER_SECOND) / rate;
-    if (dueAt > clock.monotonicNow()) await clock.sleepUntil(dueAt);
-    requests.push(request(run, dueAt, number % PROCESSES));
-  }
-  await Promise.all(requests);
-  await clock.sleepUntil(begin + milliseconds);
-}
-
-async function request(
-  run: Run,
-  dueAt: number,
-  processNumber: number,
-): Promise<void> {
-  const {clock, random, waits, counts} = run;
-  const journal = run.journals[processNumber]!;
-  const key = hexadecimal(random, 8);
-  const intent = {
-    key,
-    bodyHash: hexadecimal(random, 4),
-    coordinator: `host-${processNumber}`,
-    incarnation: '1',
-    deadline: clock.wallNow() + REQUEST_MILLISECONDS,
+    busyShareOfEach: round(
+      sum(reports.map(report => report.utilization)) / PROCESSES,
+    ),
   };
-  const recorded = await journal.recordIntent(
-    intent,
-    dueAt + CALL_MILLISECONDS,
-  );
-  if (recorded.isLeft()) {
-    counts.failed += 1;
-    return;
-  }
-  counts.recorded += 1;
-  const wait = clock.monotonicNow() - dueAt;
-  waits.recordValue(Math.round(wait * UNITS_PER_MILLISECOND));
-  const value = {order: hexadecimal(random, 4)};
-  const worker = `worker-${random.integerBelow(33)}`;
-  const results = [{index: 0, succeeded: true, worker, value}];
-  await journal.recordOutcome(
-    {outcome: 'ran', key, results},
-    clock.monotonicNow() + CALL_MILLISECONDS,
-  );
-}
-
-/** Random text of four hexadecimal digits a word. */
-function hexadecimal(random: SeededRandomSource, words: number): string {
-  const parts = Array.from({length: words}, () =>
-    random.integerBelow(65_536).toString(16).padStart(4, '0'),
-  );
-  return parts.join('');
 }
 
 function round(value: number): number {
