--- a/packages/bench/src/journal_bench_worker.ts
+++ b/packages/bench/src/journal_bench_worker.ts
@@ -128,7 +128,7 @@
   const worker = `worker-${random.integerBelow(33)}`;
   const results = [{index: 0, succeeded: true, worker, value}];
   await journal.recordOutcome(
-    {outcome: 'ran', key, results},
+    {outcome: 'ran', key, results, notRun: []},
     clock.monotonicNow() + CALL_MILLISECONDS,
   );
 }
--- a/packages/entry-host/src/configuration_checker.ts
+++ b/packages/entry-host/src/configuration_checker.ts
@@ -1,3 +1,4 @@
+import {findNeverRunnable} from '@cardamomfield/admission';
 import type {Configuration} from '@cardamomfield/configuration';
 import {
   InvalidInputError,
@@ -26,10 +27,25 @@
       const message = 'this entry host has no configuration yet';
       return Left(UnavailableError.create(message));
     }
-    return checkNames(submission, current.state).map(() => undefined);
+    const {state} = current;
+    return checkNames(submission, state).map(() =>
+      refuseNeverRunnable(submission, state),
+    );
   }
 }
 
+/** A job that no inventory state can run is refused at once. */
+function refuseNeverRunnable(
+  submission: Submission,
+  state: ConfigurationState,
+): FinalAnswer | undefined {
+  const obstacle = findNeverRunnable(submission, state);
+  if (!obstacle) return undefined;
+  const {message, ...details} = obstacle;
+  const reason = {code: 'never-runnable', message, details: {...details}};
+  return {outcome: 'not-run', key: submission.key, reason};
+}
+
 function checkNames(
   submission: Submission,
   state: ConfigurationState,
--- a/packages/entry-host/src/entry_parts.ts
+++ b/packages/entry-host/src/entry_parts.ts
@@ -9,6 +9,7 @@
 import {OwnerScheduler} from '@cardamomfield/placement';
 import type {PlatformLog} from '@cardamomfield/platform';
 import {
+  type IntentJournal,
   KeyPartitions,
   KeyRegistrar,
   KeyRegistrarClient,
@@ -16,15 +17,19 @@
   RequestCoordinator,
   TaskFinder,
 } from '@cardamomfield/requests';
+import {RequestJournal} from '@cardamomfield/request-journal';
+import {RetryBudget} from '@cardamomfield/retries';
 import type {EntrySettings} from '@cardamomfield/settings';
-import {UnavailableError} from '@cardamomfield/errors';
-import {Left, Right} from 'purify-ts';
+import {WorkerHealth} from '@cardamomfield/worker-health';
 import type {DependencyContainer} from 'tsyringe';
 import {BaseParts} from './base_parts.js';
 import {ConfigurationChecker} from './configuration_checker.js';
+import {LoggedIntents} from './logged_intents.js';
 import {listOrphans} from './list_orphans.js';
 import {TOKENS} from './tokens.js';
 
+const PERCENT = 100;
+
 /** Part of the authority period between two extensions. */
 const EXTENSIONS_PER_PERIOD = 4;
 
@@ -142,7 +147,11 @@
         ...base,
         settings: {classQueueLimit: settings.queueLimit},
       }),
-      health: {record: () => {}, weight: () => 1},
+      health: WorkerHealth.create({
+        ...base,
+        onPhaseChange: (worker, {kind}) =>
+          base.timeline.record('worker.health', {worker, phase: kind}),
+      }),
       connector: this.container.resolve(TOKENS.workerConnector),
       hosts: this.container.resolve(TOKENS.hostList),
       settings: {
@@ -158,19 +167,29 @@
     });
   }
 
+  private createJournal(): IntentJournal {
+    const {base, settings, container} = this;
+    const journal = RequestJournal.create({
+      ...base,
+      log: container.resolve<PlatformLog>(TOKENS.platformLog),
+      writer: `${settings.processName}.${base.incarnation}`,
+      settings: {
+        appendsPerSecond: settings.journalAppendsPerSecond,
+        expiryMilliseconds: settings.journalExpiryMilliseconds,
+        clockSkewMilliseconds: settings.clockSkewAllowanceMilliseconds,
+      },
+    });
+    this.streams.push(journal);
+    return LoggedIntents.create(journal, base.clock, base.incarnation);
+  }
+
   private createRequests(): RequestCoordinator {
     const {base, settings, ownership, owner} = this;
     const groups = () => this.racks();
     return RequestCoordinator.create({
       ...base,
       self: settings.processName,
-      // Non-idempotent requests are refused until the journal is wired in.
-      journal: {
-        recordIntent: async () =>
-          Left(UnavailableError.create('there is no journal yet')),
-        recordOutcome: async () => Right(undefined),
-        find: () => undefined,
-      },
+      journal: this.createJournal(),
       registrar: KeyRegistrarClient.create({...base, ownership}),
       chooser: OwnerChooser.create({
         ...base,
@@ -178,7 +197,10 @@
       }),
       finder: TaskFinder.create({...base, groups}),
       checker: ConfigurationChecker.create(this.configuration),
-      spendRetry: () => true,
+      retries: RetryBudget.create({
+        ...base,
+        ratio: settings.retryBudgetPercent / PERCENT,
+      }),
       listOrphans: partition => listOrphans(owner, partition, base.clock),
     });
   }
--- a/packages/group-owner/src/dispatcher.ts
+++ b/packages/group-owner/src/dispatcher.ts
@@ -109,10 +109,11 @@
     session: WorkerSession,
     start: TaskStart,
   ): Promise<void> {
-    const {clock, metrics, settings} = this.context;
+    const {clock, health, metrics, settings} = this.context;
     task.workerIncarnation = session.incarnation;
     const deadline = clock.monotonicNow() + settings.commandMilliseconds;
     metrics.increment('starts.sent');
+    health.noteStart(task.worker, task.facts.service);
     const answer = await session.client.start(start, deadline);
     // A watch may have shown the task, or its end, before this answer.
     if (task.stage !== 'starting') return;
@@ -141,7 +142,9 @@
       void this.resolveDoubt(task, session);
       return;
     }
-    this.context.health.record(task.worker, task.facts.service, false);
+    const {service} = task.facts;
+    const outcome = {worker: task.worker, service, succeeded: false};
+    this.context.health.noteOutcome(outcome);
     const refusals = task.refusedBy.length + 1;
     const isFinal = refusals >= this.context.settings.maximumRefusals;
     if (isFinal || task.stopReason !== undefined) {
--- a/packages/group-owner/src/group_owner.ts
+++ b/packages/group-owner/src/group_owner.ts
@@ -212,7 +212,8 @@
       group: worker.rack,
       isReachable: isReadable,
       isLeaving: this.sessions.isLeaving(worker.name),
-      weight: health.weight(worker.name),
+      health: health.phase(worker.name).kind,
+      share: health.share(worker.name),
       tasks: book.ofWorker(worker.name).length,
       available: scheduler.availableOn(worker.name),
     }));
--- a/packages/group-owner/src/index.ts
+++ b/packages/group-owner/src/index.ts
@@ -2,4 +2,3 @@
 export * from './group_authority_view.js';
 export * from './group_owner.js';
 export * from './group_owner_settings.js';
-export * from './health_view.js';
--- a/packages/group-owner/src/owner_context.ts
+++ b/packages/group-owner/src/owner_context.ts
@@ -5,9 +5,9 @@
 import type {PeerNetwork} from '@cardamomfield/peer-protocol';
 import type {OwnerScheduler} from '@cardamomfield/placement';
 import type {Timeline} from '@cardamomfield/timeline';
+import type {WorkerHealth} from '@cardamomfield/worker-health';
 import type {GroupAuthorityView} from './group_authority_view.js';
 import type {GroupOwnerSettings} from './group_owner_settings.js';
-import type {HealthView} from './health_view.js';
 import type {TaskBook} from './task_book.js';
 import type {UpdateSender} from './update_sender.js';
 
@@ -20,7 +20,7 @@
   network: PeerNetwork;
   scheduler: OwnerScheduler;
   ownership: GroupAuthorityView;
-  health: HealthView;
+  health: WorkerHealth;
   settings: GroupOwnerSettings;
   book: TaskBook;
   updates: UpdateSender;
--- a/packages/group-owner/src/task_ends.ts
+++ b/packages/group-owner/src/task_ends.ts
@@ -32,7 +32,8 @@
       return;
     }
     const succeeded = found.phase === 'succeeded';
-    health.record(task.worker, task.facts.service, succeeded);
+    const {service} = task.facts;
+    health.noteOutcome({worker: task.worker, service, succeeded});
     const value = found.value ?? (succeeded ? null : {ended: found.phase});
     const fields = {worker: task.worker, succeeded, value};
     this.end(task, this.update(task, 'ended', fields));
--- a/packages/group-owner/src/worker_sessions.ts
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -147,6 +147,7 @@
         if (!this.sessions.has(worker.name)) this.begin(worker);
       }
     }
+    this.options.context.health.setWorkers(this.sessions.keys());
     this.refresh();
   }
 
@@ -207,6 +208,6 @@
       authority !== undefined &&
       authority.isHeld() &&
       opening?.epoch === authority.epoch;
-    return isUsable ? health.weight(worker.name) : 0;
+    return isUsable ? health.share(worker.name) : 0;
   }
 }
--- a/packages/request-journal/src/request_journal.test.ts
+++ b/packages/request-journal/src/request_journal.test.ts
@@ -79,7 +79,7 @@
 
 function ran(key: string, value: string): FinalAnswer {
   const result = {index: 0, succeeded: true, worker: 'w', value};
-  return {outcome: 'ran', key, results: [result]};
+  return {outcome: 'ran', key, results: [result], notRun: []};
 }
 
 function unknown(key: string): FinalAnswer {
--- a/packages/requests/src/request_coordinator.ts
+++ b/packages/requests/src/request_coordinator.ts
@@ -19,6 +19,7 @@
   type TaskUpdate,
   UPDATE_TASKS,
 } from '@cardamomfield/peer-protocol';
+import type {RetryBudget} from '@cardamomfield/retries';
 import type {Timeline} from '@cardamomfield/timeline';
 import type {FinalAnswer, Submission} from '@cardamomfield/types';
 import {type Either, Left, Right} from 'purify-ts';
@@ -60,7 +61,7 @@
   chooser: OwnerChooser;
   finder: TaskFinder;
   checker: SubmissionChecker;
-  spendRetry: () => boolean;
+  retries: RetryBudget;
   /** Orphan registrations and read groups of this process as an owner. */
   listOrphans: (partition: string) => {
     registrations: KeyRegistration[];
--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -10,6 +10,7 @@
   type PlaceOrder,
   type TaskUpdate,
 } from '@cardamomfield/peer-protocol';
+import type {RetryBudget} from '@cardamomfield/retries';
 import type {
   FailureDescription,
   TaskConclusion,
@@ -51,8 +52,7 @@
   finder: TaskFinder;
   logger: Logger;
   metrics: Metrics;
-  /** Whether a retry fits the budget; spends from it. */
-  spendRetry: () => boolean;
+  retries: RetryBudget;
   /**
    * Confirms that this process still coordinates the request; called before
    * every attempt.
@@ -96,6 +96,7 @@
       const standing = await this.options.confirmRegistration();
       if (standing === 'lost') return this.leaveToOther();
       if (standing === 'unavailable') continue;
+      if (this.task.attempt === 0) this.options.retries.noteRequest();
       this.task.startAttempt();
       const isSent = await this.place();
       if (!isSent) continue;
@@ -339,7 +340,7 @@
     if (!this.mayRepeat()) return false;
     this.failedAttempts += 1;
     if (this.failedAttempts >= MAXIMUM_FAILED_ATTEMPTS) return false;
-    return this.options.spendRetry();
+    return this.options.retries.tryTake();
   }
 
   private concludeNotStarted(
