--- a/packages/fuzz/src/simulated_system.ts
+++ b/packages/fuzz/src/simulated_system.ts
@@ -221,7 +221,9 @@
         : requests.submit(submission, isKeyChosen),
     );
     asked?.ifLeft(error => {
-      if (FINAL_FAILURES.includes(error.code)) request.failure = error.code;
+      // Without a key of its own a caller can't ask elsewhere.
+      const isFinal = !isKeyChosen || FINAL_FAILURES.includes(error.code);
+      if (isFinal) request.failure = error.code;
     });
     let view = asked?.toMaybe().extract();
     while (view && !view.answer) {
--- a/packages/fuzz/src/system_oracle.ts
+++ b/packages/fuzz/src/system_oracle.ts
@@ -81,6 +81,10 @@
     if (answer?.outcome === 'not-run' && this.ranBefore(request)) {
       fail('G4', `${key} was called not run and started`);
     }
+    const isRefused = !request.isKeyChosen && request.failure !== undefined;
+    if (isRefused && starts > 0) {
+      fail('G4', `${key} was refused with ${request.failure} and started`);
+    }
     if (answer?.outcome === 'ran') this.checkResults(request);
   }
 
