--- a/packages/log-follower/src/log_follower.test.ts
+++ b/packages/log-follower/src/log_follower.test.ts
@@ -101,6 +101,15 @@
     fixture.stop();
   });
 
+  // Guards against a process that starts late because a stream is quiet.
+  it('is caught up at once on a quiet stream', async () => {
+    const fixture = new Fixture();
+    const {follower} = fixture.start();
+    await fixture.clock.advance(0);
+    expect(follower.isCaughtUp()).toBe(true);
+    fixture.stop();
+  });
+
   // Guards against an append that is repeated or given up although it took
   // effect, with and without the follower's own task.
   it.each([true, false])(
@@ -202,8 +211,11 @@
     await fixture.clock.advance(10_000);
     expect(late.follower.isCaughtUp()).toBe(false);
     expect(late.metrics.value('log.snapshots.missing')).toBeGreaterThan(0);
-    const tolerant = fixture.start({acceptsTrimmedStart: true});
-    await fixture.clock.advance(1);
+    const age = {trimmedStartAgeMilliseconds: 60_000};
+    const tolerant = fixture.start(age);
+    await fixture.clock.advance(45_000);
+    expect(tolerant.follower.isCaughtUp()).toBe(false);
+    await fixture.clock.advance(10_000);
     expect(bodies(tolerant.follower.state())).toEqual([2, 3]);
     fixture.stop();
   });
