--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -1,7 +1,6 @@
 import {Caller, LocalCluster} from '@cardamomfield/local-cluster';
 import type {RequestView} from '@cardamomfield/peer-protocol';
 import {
-  filterTimeline,
   mergeTimelines,
   type TimelineEvent,
 } from '@cardamomfield/timeline';
--- a/packages/fuzz/src/simulated_host.ts
+++ b/packages/fuzz/src/simulated_host.ts
@@ -1,5 +1,4 @@
 import {
-  type Clock,
   type ManualClock,
   SeededRandomSource,
 } from '@cardamomfield/clock';
