--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -1,9 +1,6 @@
 import {Caller, LocalCluster} from '@cardamomfield/local-cluster';
 import type {RequestView} from '@cardamomfield/peer-protocol';
-import {
-  mergeTimelines,
-  type TimelineEvent,
-} from '@cardamomfield/timeline';
+import {mergeTimelines, type TimelineEvent} from '@cardamomfield/timeline';
 
 const ENTRY_HOSTS = 3;
 const RACKS = 2;
--- a/packages/fuzz/src/simulated_host.ts
+++ b/packages/fuzz/src/simulated_host.ts
@@ -1,7 +1,4 @@
-import {
-  type ManualClock,
-  SeededRandomSource,
-} from '@cardamomfield/clock';
+import {type ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {EntryParts, TOKENS} from '@cardamomfield/entry-host';
 import {SilentLogger} from '@cardamomfield/logger';
 import {MemoryMetrics} from '@cardamomfield/metrics';
