Claim groups only from hosts that no other host hears either

Cause: two hosts cut off from each other, but not from a third one and the log, took each other for dead and claimed each other's groups in turn, as fast as the log took the records. Ruled out: the announcements, which were only a consequence, and lost append answers. Heartbeats now name the hosts that are heard, and a host that hears no majority claims nothing: its claims could not take effect but would end the authority of a living owner.

--- a/packages/cli/src/command_line.test.ts
+++ b/packages/cli/src/command_line.test.ts
@@ -267,7 +267,7 @@
 describe('requests', () => {
   const ran = {
     key: 'order-17',
-    answer: {outcome: 'ran', key: 'order-17', results: []},
+    answer: {outcome: 'ran', key: 'order-17', results: [], notRun: []},
   };
   const reason = {code: 'unavailable', message: 'the log is unavailable'};
 
--- a/packages/fuzz/src/simulated_system.ts
+++ b/packages/fuzz/src/simulated_system.ts
@@ -37,6 +37,9 @@
 /** Failures after which a caller does not ask again. */
 const FINAL_FAILURES = ['invalid-input', 'conflict', 'not-found'];
 
+/** The log service takes several hundred appends a second. */
+const APPENDS_PER_SECOND = 300;
+
 const MEBIBYTE = 2 ** 20;
 
 interface SimulatedSystemOptions {
@@ -68,7 +71,7 @@
   private constructor(private readonly options: SimulatedSystemOptions) {
     const {clock} = this;
     this.random = SeededRandomSource.create(options.seed);
-    this.log = LogService.create({clock});
+    this.log = LogService.create({clock, appendsPerSecond: APPENDS_PER_SECOND});
     this.hostList = HostListService.create({clock});
     this.hub = MemoryPeerHub.create({clock});
     const workers = options.racks * options.workersPerRack;
--- a/packages/ownership/src/group_claiming.ts
+++ b/packages/ownership/src/group_claiming.ts
@@ -1,5 +1,6 @@
 import type {GroupCandidates} from './group_candidates.js';
 import type {GroupClaim} from './group_claim.js';
+import {majorityStamp} from './majority_stamp.js';
 import type {OwnershipContext} from './ownership_context.js';
 import type {OwnershipRecord} from './ownership_record.js';
 
@@ -63,10 +64,21 @@
       ? Math.min(this.eligibleSince, now)
       : Infinity;
     if (now < this.eligibleSince + settings.claimSettleMilliseconds) return [];
+    // A claim that no majority can acknowledge never takes effect, but would
+    // end the authority of an owner on the other side of a partition.
+    if (!this.hearsMajority()) return [];
     const hosts = this.candidates.eligibleHosts();
     return this.groups.flatMap(group => this.toClaim(group, hosts));
   }
 
+  private hearsMajority(): boolean {
+    const {knowledge, liveness} = this.context;
+    const stamp = majorityStamp(knowledge.voters(), voter =>
+      liveness.isSilent(voter) ? -Infinity : 0,
+    );
+    return stamp !== -Infinity;
+  }
+
   private toClaim(group: string, hosts: readonly string[]): ClaimedGroup[] {
     const {process, settings, clock, stream} = this.context;
     const claim = stream.state().claims.get(group);
--- a/packages/ownership/src/host_liveness.ts
+++ b/packages/ownership/src/host_liveness.ts
@@ -52,15 +52,30 @@
     if (host === this.options.network.self) {
       return incarnation !== this.options.incarnation;
     }
-    if (this.isSilent(host)) return true;
+    // Another host may still hear it: then only the link to here is cut, and
+    // a claim would take groups from a living owner.
+    if (this.isSilent(host)) return !this.isHeardByPeers(host);
     const section = this.options.network.latest(host, OwnershipSection);
     return section !== undefined && section.value.incarnation !== incarnation;
   }
 
+  /** Hosts that this process hears, for its heartbeat. */
+  heardHosts(): string[] {
+    const {network} = this.options;
+    return network.livePeers().filter(host => !this.isSilent(host));
+  }
+
   /** Whether a peer may be chosen as the owner of groups. */
   isEligible(host: string): boolean {
     if (this.isSilent(host)) return false;
     const section = this.options.network.latest(host, OwnershipSection);
     return section?.value.isEligible ?? false;
   }
+
+  private isHeardByPeers(host: string): boolean {
+    return this.heardHosts().some(peer => {
+      const section = this.options.network.latest(peer, OwnershipSection);
+      return section?.value.hears.includes(host) ?? false;
+    });
+  }
 }
--- a/packages/ownership/src/ownership_manager.ts
+++ b/packages/ownership/src/ownership_manager.ts
@@ -250,7 +250,7 @@
   }
 
   private connect(): void {
-    const {claims, incarnation, knowledge, network, stream, wakeup} =
+    const {claims, incarnation, knowledge, liveness, network, stream, wakeup} =
       this.context;
     knowledge.onChange(() => {
       claims.refresh();
@@ -261,6 +261,7 @@
       incarnation,
       nextOffset: stream.nextOffset(),
       isEligible: this.candidates.isSelfEligible(),
+      hears: liveness.heardHosts(),
     }));
   }
 
--- a/packages/peer-protocol/src/ownership_section.ts
+++ b/packages/peer-protocol/src/ownership_section.ts
@@ -7,6 +7,8 @@
   nextOffset: z.int().nonnegative(),
   /** Whether the process may be chosen as an owner. */
   isEligible: z.boolean(),
+  /** Hosts that the process hears. */
+  hears: z.array(z.string()),
 });
 
 /** Part of the heartbeat that ownership reads. */
