Ask an owner after a while whether it still has a waiting task

Cause: when an order or its answer was lost, the coordinator waited for news of a task that the owner never knew, past its deadline and for ever. Ruled out: the queue of the owner, which reports expired jobs.

--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -40,6 +40,9 @@
 /** Time for an owner to send its news to a new coordinator. */
 const FOLLOW_TIMEOUT_MILLISECONDS = 1_000;
 
+/** Period of the question whether the owner still has a waiting task. */
+const OWNER_CHECK_MILLISECONDS = 3_000;
+
 /** Attempts that end with a failure of the task itself. */
 const MAXIMUM_FAILED_ATTEMPTS = 3;
 
@@ -191,7 +194,9 @@
    * another coordinator goes on with the request.
    */
   private async follow(): Promise<TaskUpdate | undefined> {
+    const {clock} = this.options;
     let nextCancel = 0;
+    let nextCheck = clock.monotonicNow() + OWNER_CHECK_MILLISECONDS;
     for (;;) {
       if (this.record.isHandedOver) return undefined;
       const update = this.task.update;
@@ -200,18 +205,36 @@
         await this.resolveWithoutOwner();
         continue;
       }
-      const now = this.options.clock.monotonicNow();
+      const now = clock.monotonicNow();
       if (this.record.isCancelled && now >= nextCancel) {
         nextCancel = now + CANCEL_TIMEOUT_MILLISECONDS;
         await this.sendCancel();
         continue;
       }
+      if (!update && now >= nextCheck) {
+        nextCheck = now + OWNER_CHECK_MILLISECONDS;
+        await this.checkOwner();
+        continue;
+      }
       await this.record.waitForChange(
-        this.record.isCancelled ? nextCancel : undefined,
+        Math.min(
+          this.record.isCancelled ? nextCancel : Infinity,
+          update ? Infinity : nextCheck,
+        ),
       );
     }
   }
 
+  /** The order or its answer may have been lost: ask whether it arrived. */
+  private async checkOwner(): Promise<void> {
+    const isOrderDead = this.options.clock.wallNow() > this.task.orderNotAfter;
+    const owner = this.task.owner;
+    if (!owner || !isOrderDead) return;
+    const isKnown = await this.followAt(owner.name);
+    // Only a search tells more: the task may have moved on with its group.
+    if (isKnown === false && !this.task.update) this.task.owner = undefined;
+  }
+
   /** Whether the process that took the order no longer exists or answers. */
   private isOwnerGone(): boolean {
     const {network, chooser} = this.options;
@@ -276,21 +299,23 @@
 
   /** Follows the task at an owner, which may not know this coordinator. */
   private async adoptOwner(name: string): Promise<void> {
-    const {chooser, clock, network} = this.options;
+    const {chooser} = this.options;
     const incarnation = chooser.incarnationOf(name) ?? '';
     this.task.owner = {name, incarnation};
-    const deadline = clock.monotonicNow() + FOLLOW_TIMEOUT_MILLISECONDS;
-    const task = this.identity();
-    const answer = await network.call(name, FOLLOW_TASK, {task}, deadline);
-    const isKnown = answer.caseOf({
-      Left: () => false,
-      Right: result => result.isKnown,
-    });
-    if (isKnown) return;
+    if (await this.followAt(name)) return;
     this.task.owner = undefined;
     await this.pause(FIND_PAUSE_MILLISECONDS);
   }
 
+  /** Whether the owner knows the attempt; undefined without an answer. */
+  private async followAt(owner: string): Promise<boolean | undefined> {
+    const {clock, network} = this.options;
+    const deadline = clock.monotonicNow() + FOLLOW_TIMEOUT_MILLISECONDS;
+    const task = this.identity();
+    const answer = await network.call(owner, FOLLOW_TASK, {task}, deadline);
+    return answer.toMaybe().extract()?.isKnown;
+  }
+
   private lostUpdate(): TaskUpdate {
     return {
       stage: 'lost',
