Let a coordinator find out that it has lost a request

Ruled out: the registrar, which had one winner throughout. An owner now takes cancellations only from the task's coordinator, and a process that was paused or alone confirms its registrations.

--- a/packages/fuzz/src/system_directed.test.ts
+++ b/packages/fuzz/src/system_directed.test.ts
@@ -16,4 +16,26 @@
     system.close();
     expect(appended).toBeLessThan(10);
   });
+
+  // Guards against two coordinators of one request: one that was taken for
+  // dead while it was paused stopped, again and again, the task that the
+  // other one started.
+  it('cancels through a coordinator that lost its request', async () => {
+    const system = await SimulatedSystem.create(OPTIONS);
+    const {clock, ledger} = system;
+    const deadline = clock.wallNow() + 5_000;
+    const fields = {key: 'watch', kind: 'service' as const, deadline};
+    const request = system.submit(fields, true, 'entry-0');
+    await clock.advance(1_000);
+    const coordinator = system.hosts.get('entry-0');
+    coordinator?.pause();
+    await clock.advance(9_000);
+    coordinator?.resume();
+    await clock.advance(1_000);
+    void coordinator?.parts.requests.cancel('watch');
+    await system.advanceUntil(() => request.isOver(), 30_000);
+    system.close();
+    expect(request.answer?.outcome).toBe('ran');
+    expect(ledger.startsOf('watch')).toBe(1);
+  });
 });
--- a/packages/group-owner/src/group_owner.ts
+++ b/packages/group-owner/src/group_owner.ts
@@ -223,8 +223,8 @@
     const {network} = this.context;
     network.publish(OWNER_SUMMARY_SECTION, () => this.summary());
     network.handle(PLACE_TASKS, async (_peer, order) => this.place(order));
-    network.handle(CANCEL_REQUESTS, async (_peer, {keys}) => {
-      keys.forEach(key => this.cancel(key));
+    network.handle(CANCEL_REQUESTS, async (peer, {keys}) => {
+      keys.forEach(key => this.cancel(key, peer.name));
       return Right({});
     });
     network.handle(FOLLOW_TASK, async (peer, {task}) =>
@@ -316,8 +316,10 @@
     }
   }
 
-  private cancel(key: string): void {
+  /** Only the coordinator of a task may cancel it. */
+  private cancel(key: string, coordinator: string): void {
     for (const task of this.context.book.ofKey(key)) {
+      if (task.coordinator !== coordinator) continue;
       if (task.stage === 'ended') continue;
       if (task.stage === 'queued') this.giveBack(task, 'cancelled');
       else this.stopper.stop(task, 'cancelled', false);
--- a/packages/requests/src/request_backups.ts
+++ b/packages/requests/src/request_backups.ts
@@ -18,6 +18,9 @@
 /** Period of the check for dead coordinators and changed backup hosts. */
 const CHECK_MILLISECONDS = 1_000;
 
+/** A longer time between two checks means that the process was paused. */
+const MAXIMUM_GAP_MILLISECONDS = 3_000;
+
 interface Backup {
   state: RequestState;
   coordinator: string;
@@ -32,6 +35,8 @@
   logger: Logger;
   /** The incarnation of a peer as last heard. */
   incarnationOf: (peer: string) => string | undefined;
+  /** Finds out whether this process still coordinates a request. */
+  reconfirm: (record: RequestRecord) => Promise<void>;
   /** Goes on with a request; false when that failed and should be repeated. */
   adopt: (state: RequestState, replaces: string) => Promise<boolean>;
 }
@@ -45,6 +50,8 @@
   /** Requests of this process with the peer that has the copy. */
   private readonly sent = new Map<RequestRecord, string>();
   private readonly active = new Set<RequestRecord>();
+  private checkedAt = 0;
+  private isAlone = false;
 
   private constructor(private readonly options: RequestBackupsOptions) {}
 
@@ -77,6 +84,7 @@
   async run(signal: AbortSignal): Promise<void> {
     const {clock} = this.options;
     while (!signal.aborted) {
+      if (this.wasAway()) this.reconfirmAll();
       for (const record of this.active) this.checkHost(record);
       for (const [key, backup] of [...this.held]) {
         await this.check(key, backup);
@@ -128,6 +136,25 @@
     });
   }
 
+  /**
+   * Whether this process was paused or cut off since the last check, so that
+   * a peer may have taken it for dead and adopted its requests.
+   */
+  private wasAway(): boolean {
+    const {clock, network} = this.options;
+    const now = clock.monotonicNow();
+    const wasPaused = now > this.checkedAt + MAXIMUM_GAP_MILLISECONDS;
+    const isAlone = network.livePeers().length === 0;
+    const wasAlone = this.isAlone;
+    this.checkedAt = now;
+    this.isAlone = isAlone;
+    return wasPaused || (wasAlone && !isAlone);
+  }
+
+  private reconfirmAll(): void {
+    for (const record of this.active) void this.options.reconfirm(record);
+  }
+
   private async send(record: RequestRecord): Promise<void> {
     const {network, clock} = this.options;
     const [peer] = network.livePeers();
--- a/packages/requests/src/request_coordinator.ts
+++ b/packages/requests/src/request_coordinator.ts
@@ -96,6 +96,7 @@
     this.backups = RequestBackups.create({
       ...options,
       incarnationOf: peer => options.chooser.incarnationOf(peer),
+      reconfirm: record => this.reconfirm(record),
       adopt: (state, replaces) => this.adopt(state, replaces),
     });
   }
@@ -376,10 +377,23 @@
     });
     if (RequestBackups.isWanted(record)) void this.backups.keep(record);
     await run.run();
-    if (record.isHandedOver) this.store.remove(record);
+    if (record.isHandedOver) this.leave(record);
     else this.finish(record);
   }
 
+  /** Another host coordinates the request; a cancellation goes on to it. */
+  private leave(record: RequestRecord): void {
+    this.store.remove(record);
+    if (record.isCancelled) void this.remote.cancel(record.key);
+  }
+
+  private async reconfirm(record: RequestRecord): Promise<void> {
+    const standing = await this.claims.confirm(record, false);
+    if (standing !== 'lost') return;
+    record.isHandedOver = true;
+    record.changed();
+  }
+
   private createTaskRun(record: RequestRecord, task: TaskRecord): TaskRun {
     return TaskRun.create(record, task, {
       ...this.options,
--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -207,7 +207,10 @@
       }
       const now = clock.monotonicNow();
       if (this.record.isCancelled && now >= nextCancel) {
+        // A second try means that the owner may have another coordinator.
+        const isRepeated = nextCancel > 0;
         nextCancel = now + CANCEL_TIMEOUT_MILLISECONDS;
+        if (isRepeated && (await this.isSuperseded())) continue;
         await this.sendCancel();
         continue;
       }
@@ -235,6 +238,12 @@
     if (isKnown === false && !this.task.update) this.task.owner = undefined;
   }
 
+  private async isSuperseded(): Promise<boolean> {
+    const standing = await this.options.confirmRegistration();
+    if (standing === 'lost') this.leaveToOther();
+    return standing === 'lost';
+  }
+
   /** Whether the process that took the order no longer exists or answers. */
   private isOwnerGone(): boolean {
     const {network, chooser} = this.options;
