Follow a task only as its confirmed coordinator

Cause: workers kept only the name of a task's coordinator. Workers now keep name and incarnation in one label, registrations of living hosts go before those found on workers, and a coordinator confirms its registration before it follows a task at another owner.

--- a/packages/entry-host/src/list_orphans.ts
+++ b/packages/entry-host/src/list_orphans.ts
@@ -21,9 +21,9 @@
     .filter(({key}) => KeyPartitions.of(key) === partition)
     .map(({key, coordinator}) => ({
       key,
-      coordinator,
+      coordinator: coordinator.name,
+      coordinatorIncarnation: coordinator.incarnation,
       bodyHash: '',
-      coordinatorIncarnation: '',
       expiresAt,
     }));
   return {registrations, groups: [...owner.readGroups().keys()]};
--- a/packages/fuzz/src/system_directed.test.ts
+++ b/packages/fuzz/src/system_directed.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {SimulatedSystem} from './simulated_system.js';
+import {SystemRun} from './system_run.js';
 
 const OPTIONS = {seed: 1, entryHosts: 3, racks: 3, workersPerRack: 2};
 
@@ -38,4 +39,76 @@
     expect(request.answer?.outcome).toBe('ran');
     expect(ledger.startsOf('watch')).toBe(1);
   });
+
+  // Guards G1 against a start that reaches a restarted worker after the list
+  // that showed the new incarnation: it was taken for lost with the old one,
+  // and its capacity was given to others.
+  it('keeps the reservation of a start in doubt across a restart', async () => {
+    const run = await SystemRun.create(127);
+    const submission = {
+      type: 'submit' as const,
+      kind: 'urgent' as const,
+      isIdempotent: true,
+      deadlineMilliseconds: 500 as const,
+    };
+    await run.run([
+      {type: 'advance', milliseconds: 1_500},
+      {
+        ...submission,
+        host: 2,
+        keyNumber: 0,
+        taskCount: 3,
+        size: 4,
+        runMilliseconds: 4_000,
+      },
+      {type: 'advance', milliseconds: 1_500},
+      {
+        ...submission,
+        host: 4,
+        keyNumber: undefined,
+        taskCount: 1,
+        size: 3,
+        runMilliseconds: 10,
+      },
+      {
+        ...submission,
+        host: 4,
+        kind: 'service',
+        keyNumber: 0,
+        taskCount: 2,
+        size: 2,
+        runMilliseconds: 10,
+      },
+      {type: 'lose-start-answers', worker: 5, count: 2},
+      {type: 'hold-commands', host: 3, worker: 2, isOn: false},
+      {type: 'restart-worker', worker: 5},
+      {type: 'advance', milliseconds: 1},
+    ]);
+    expect(run.outcomes()['none']).toBeUndefined();
+  });
+
+  // Guards against a registrar that takes a key from its living coordinator:
+  // while that was paused, only the task on its worker told of the key, and
+  // not which incarnation coordinates it.
+  it('leaves a key to its coordinator after a pause', async () => {
+    const system = await SimulatedSystem.create(OPTIONS);
+    const {clock, ledger} = system;
+    const kind = 'service' as const;
+    for (const name of system.hostNames) {
+      const key = `watch-of-${name}`;
+      const deadline = clock.wallNow() + 5_000;
+      const request = system.submit({kind, key, deadline}, true, name);
+      await clock.advance(1_000);
+      system.hosts.get(name)?.pause();
+      await clock.advance(9_000);
+      system.hosts.get(name)?.resume();
+      await clock.advance(20_000);
+      const [other] = system.liveHosts().filter(host => host.name !== name);
+      void other?.parts.requests.cancel(key);
+      await system.advanceUntil(() => request.isOver(), 30_000);
+      expect(request.answer?.outcome).toBe('ran');
+      expect(ledger.startsOf(key)).toBe(1);
+    }
+    system.close();
+  });
 });
--- a/packages/group-owner/src/dispatcher.ts
+++ b/packages/group-owner/src/dispatcher.ts
@@ -60,7 +60,7 @@
     const deadline = clock.monotonicNow() + settings.commandMilliseconds;
     const {identity, epoch, worker} = task;
     const answer = await network.call(
-      task.coordinator,
+      task.coordinator.name,
       PERMIT_DISPATCH,
       {task: identity, epoch, worker},
       deadline,
@@ -89,7 +89,7 @@
     return {
       task: task.identity,
       epoch: task.epoch,
-      coordinator: task.coordinator,
+      coordinator: task.coordinator.toString(),
       team,
       service,
       kind,
--- a/packages/group-owner/src/group_owner.ts
+++ b/packages/group-owner/src/group_owner.ts
@@ -19,6 +19,7 @@
   Worker,
 } from '@cardamomfield/types';
 import {type Either, Left, Right} from 'purify-ts';
+import {CoordinatorLabel} from './coordinator_label.js';
 import {DeputyRenewals} from './deputy_renewals.js';
 import {Dispatcher} from './dispatcher.js';
 import {GroupOwnerSettings} from './group_owner_settings.js';
@@ -179,18 +180,10 @@
   }
 
   /** Live tasks whose coordinator is not there. */
-  liveOrphans(): Array<{key: string; coordinator: string}> {
-    const {network, book} = this.context;
-    const hosts = new Set([network.self, ...network.livePeers()]);
-    const orphans: Array<{key: string; coordinator: string}> = [];
-    for (const task of book.all()) {
-      if (!task.isLive() || hosts.has(task.coordinator)) continue;
-      orphans.push({
-        key: task.identity.key,
-        coordinator: task.coordinator,
-      });
-    }
-    return orphans;
+  liveOrphans(): Array<{key: string; coordinator: CoordinatorLabel}> {
+    return [...this.context.book.all()]
+      .filter(task => task.isLive() && !this.isThere(task.coordinator))
+      .map(({identity, coordinator}) => ({key: identity.key, coordinator}));
   }
 
   /** What this owner has to offer, for coordinators. */
@@ -219,6 +212,15 @@
     }));
   }
 
+  /** Whether this incarnation of the coordinator is connected. */
+  private isThere({name, incarnation}: CoordinatorLabel): boolean {
+    const {network} = this.context;
+    if (name === network.self) return incarnation === this.options.incarnation;
+    if (!network.livePeers().includes(name)) return false;
+    const summary = network.latest(name, OWNER_SUMMARY_SECTION);
+    return summary?.value.incarnation === incarnation;
+  }
+
   private registerHandlers(): void {
     const {network} = this.context;
     network.publish(OWNER_SUMMARY_SECTION, () => this.summary());
@@ -228,7 +230,7 @@
       return Right({});
     });
     network.handle(FOLLOW_TASK, async (peer, {task}) =>
-      Right({isKnown: this.follow(task, peer.name)}),
+      Right({isKnown: this.follow(task, peer)}),
     );
     network.handle(FIND_TASKS, async (_peer, {key}) =>
       Right({
@@ -299,11 +301,14 @@
     };
   }
 
-  private follow(identity: TaskIdentity, coordinator: string): boolean {
+  private follow(
+    identity: TaskIdentity,
+    {name, incarnation}: {name: string; incarnation: string},
+  ): boolean {
     const task = this.context.book.find(identity);
     if (!task) return false;
-    task.coordinator = coordinator;
-    if (task.update) this.context.updates.send(coordinator, task.update);
+    task.coordinator = CoordinatorLabel.create(name, incarnation);
+    if (task.update) this.context.updates.send(name, task.update);
     return true;
   }
 
@@ -319,7 +324,7 @@
   /** Only the coordinator of a task may cancel it. */
   private cancel(key: string, coordinator: string): void {
     for (const task of this.context.book.ofKey(key)) {
-      if (task.coordinator !== coordinator) continue;
+      if (task.coordinator.name !== coordinator) continue;
       if (task.stage === 'ended') continue;
       if (task.stage === 'queued') this.giveBack(task, 'cancelled');
       else this.stopper.stop(task, 'cancelled', false);
@@ -427,7 +432,7 @@
 function describe(task: OwnedTask): KnownTask {
   return {
     task: task.identity,
-    coordinator: task.coordinator,
+    coordinator: task.coordinator.name,
     isLive: task.isLive(),
     ...(task.update ? {update: task.update} : {}),
   };
--- a/packages/group-owner/src/owned_task.ts
+++ b/packages/group-owner/src/owned_task.ts
@@ -1,6 +1,7 @@
 import type {TaskStart, WorkerTask} from '@cardamomfield/platform';
 import type {PlaceOrder, TaskUpdate} from '@cardamomfield/peer-protocol';
 import type {TaskIdentity} from '@cardamomfield/types';
+import {CoordinatorLabel} from './coordinator_label.js';
 
 /** Where a task stands at its owner. */
 type Stage =
@@ -9,7 +10,7 @@
 /** One attempt of one task, as the owner of its worker's group knows it. */
 export class OwnedTask {
   /** Entry host that is told of the task. */
-  coordinator: string;
+  coordinator: CoordinatorLabel;
   stage: Stage = 'queued';
   worker = '';
   group = '';
@@ -37,7 +38,7 @@
 
   private constructor(
     readonly identity: TaskIdentity,
-    coordinator: string,
+    coordinator: CoordinatorLabel,
     readonly facts: Pick<
       TaskStart,
       'team' | 'service' | 'kind' | 'idempotent' | 'demand'
@@ -48,7 +49,11 @@
 
   /** A task from a coordinator's order; it waits in the queue. */
   static fromOrder(identity: TaskIdentity, order: PlaceOrder): OwnedTask {
-    const task = new OwnedTask(identity, order.coordinator, order);
+    const coordinator = CoordinatorLabel.create(
+      order.coordinator,
+      order.coordinatorIncarnation,
+    );
+    const task = new OwnedTask(identity, coordinator, order);
     task.order = order;
     return task;
   }
@@ -58,7 +63,8 @@
     found: WorkerTask,
     place: {worker: string; group: string; incarnation: string},
   ): OwnedTask {
-    const task = new OwnedTask(found.task, found.coordinator, found);
+    const coordinator = CoordinatorLabel.parse(found.coordinator);
+    const task = new OwnedTask(found.task, coordinator, found);
     task.stage = found.phase === 'running' ? 'running' : 'ended';
     task.worker = place.worker;
     task.group = place.group;
--- a/packages/group-owner/src/task_ends.ts
+++ b/packages/group-owner/src/task_ends.ts
@@ -80,7 +80,7 @@
 
   private tell(task: OwnedTask, update: TaskUpdate): void {
     task.update = update;
-    this.context.updates.send(task.coordinator, update);
+    this.context.updates.send(task.coordinator.name, update);
   }
 
   private update<S extends Stage>(
--- a/packages/group-owner/src/worker_reader.ts
+++ b/packages/group-owner/src/worker_reader.ts
@@ -124,11 +124,12 @@
       );
       return;
     }
-    if (task.stage !== 'in-doubt') return;
-    if (!isSameWorker) {
-      this.ends.lost(task, 'the worker restarted before it answered');
-    } else if (this.isStartOver(task, sentAt)) {
+    // Until then a start may still arrive, at a restarted worker as well.
+    if (task.stage !== 'in-doubt' || !this.isStartOver(task, sentAt)) return;
+    if (isSameWorker) {
       this.ends.notStarted(task, 'the start did not reach the worker');
+    } else {
+      this.ends.lost(task, 'the worker restarted before it answered');
     }
   }
 
--- a/packages/requests/src/key_registrar.ts
+++ b/packages/requests/src/key_registrar.ts
@@ -159,9 +159,11 @@
     registrations: readonly KeyRegistration[],
   ): void {
     for (const registration of registrations) {
-      if (!partition.entries.has(registration.key)) {
-        partition.entries.set(registration.key, registration);
-      }
+      const known = partition.entries.get(registration.key);
+      // A task found on a worker has no body hash and names the coordinator
+      // that started it; a living coordinator may have adopted it since.
+      if (known && known.bodyHash !== '') continue;
+      partition.entries.set(registration.key, registration);
     }
   }
 
--- a/packages/requests/src/request_run.ts
+++ b/packages/requests/src/request_run.ts
@@ -51,7 +51,8 @@
       Right: first => {
         const isOwn =
           first.coordinator === self && first.incarnation === incarnation;
-        return isOwn ? undefined : (first.answer ?? this.earlierIntent());
+        if (first.answer) return first.answer;
+        return isOwn ? undefined : this.earlierIntent();
       },
     });
   }
--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -211,7 +211,7 @@
         const isRepeated = nextCancel > 0;
         nextCancel = now + CANCEL_TIMEOUT_MILLISECONDS;
         if (isRepeated && (await this.isSuperseded())) continue;
-        await this.sendCancel();
+        await this.sendCancel(isRepeated);
         continue;
       }
       if (!update && now >= nextCheck) {
@@ -232,7 +232,7 @@
   private async checkOwner(): Promise<void> {
     const isOrderDead = this.options.clock.wallNow() > this.task.orderNotAfter;
     const owner = this.task.owner;
-    if (!owner || !isOrderDead) return;
+    if (!owner || !isOrderDead || (await this.isSuperseded())) return;
     const isKnown = await this.followAt(owner.name);
     // Only a search tells more: the task may have moved on with its group.
     if (isKnown === false && !this.task.update) this.task.owner = undefined;
@@ -254,10 +254,12 @@
     return incarnation !== undefined && incarnation !== owner.incarnation;
   }
 
-  private async sendCancel(): Promise<void> {
+  private async sendCancel(isRepeated: boolean): Promise<void> {
     const {network, clock} = this.options;
     const owner = this.task.owner;
     if (!owner) return;
+    // The owner takes a cancellation only from the coordinator it knows.
+    if (isRepeated) await this.followAt(owner.name);
     const deadline = clock.monotonicNow() + CANCEL_TIMEOUT_MILLISECONDS;
     const keys = [this.record.key];
     await network.call(owner.name, CANCEL_REQUESTS, {keys}, deadline);
@@ -308,6 +310,9 @@
 
   /** Follows the task at an owner, which may not know this coordinator. */
   private async adoptOwner(name: string): Promise<void> {
+    // Otherwise a coordinator that was taken for dead would draw the news of
+    // the task away from the one that goes on with it.
+    if (await this.isSuperseded()) return;
     const {chooser} = this.options;
     const incarnation = chooser.incarnationOf(name) ?? '';
     this.task.owner = {name, incarnation};
