Report an append as uncertain when its record may have been skipped

The proof of absence after a lost answer required a late enough read of the tail, but not that every record up to the tail had been read, so a record in the skipped range counted as absent and `append` answered `UnavailableError` although it was in force.

The same jump past a record of known offset answered that offset. This is now `UncertainError` too: the record may have expired, and after a start at the head the state does not contain it.

Ruled out: an append refused by the log has no effect wherever the follower is; an append sent after a jump gets an offset at or above it; a record above the jump is still read and resolves its append, which a test shows.

--- a/packages/log-follower/src/followed_stream.ts
+++ b/packages/log-follower/src/followed_stream.ts
@@ -35,8 +35,9 @@
 
   /**
    * Appends a record and returns its offset once it is applied here. A lost
-   * answer is resolved by reading; `UncertainError` remains only when the log
-   * can't be read before the deadline either.
+   * answer is resolved by reading; `UncertainError` remains when the log can't
+   * be read before the deadline either, or when the record may be among those
+   * that a snapshot, a trimmed start or a seeded state skipped.
    */
   append(
     body: unknown,
--- a/packages/log-follower/src/log_follower.test.ts
+++ b/packages/log-follower/src/log_follower.test.ts
@@ -80,6 +80,34 @@
   }
 }
 
+type Jump = 'snapshot' | 'trimmed start' | 'seeded state';
+const JUMPS: Jump[] = ['snapshot', 'trimmed start', 'seeded state'];
+/** What a follower needs to start at a head without a snapshot. */
+const ANY_HEAD = {trimmedStartAgeMilliseconds: 0};
+
+/** Moves a follower past all records of the log without showing it any. */
+async function jump(
+  fixture: Fixture,
+  kind: Jump,
+  follower: LogFollower<Entries>,
+): Promise<void> {
+  const writesSnapshots = kind === 'snapshot';
+  const settings = {writesSnapshots, snapshotAfterRecords: 2};
+  const peer = fixture.start({...settings, snapshotJitter: 0}).follower;
+  await fixture.clock.advance(0);
+  for (const body of ['first', 'second']) await fixture.append(peer, body);
+  await fixture.clock.advance(0);
+  if (kind === 'seeded state') {
+    const isTaken = follower.seedStateAt(peer.state(), peer.nextOffset());
+    expect(isTaken).toBe(true);
+    return;
+  }
+  const records = fixture.service.records('s');
+  const isSnapshot = (body: unknown) => 'snapshot' in (body as object);
+  expect(records.some(({body}) => isSnapshot(body))).toBe(writesSnapshots);
+  fixture.service.trim('s', records.at(-1)!.offset);
+}
+
 const bodies = (entries: Entries) => entries.map(entry => entry.body);
 
 describe('LogFollower', () => {
@@ -168,6 +196,74 @@
     fixture.stop();
   });
 
+  // Guards against an append that is reported as without effect although its
+  // record is in force, because the follower moved past it without reading it.
+  it.each(JUMPS)(
+    'is uncertain when a %s skips the record of a lost answer',
+    async kind => {
+      const fixture = new Fixture();
+      const {follower, log} = fixture.start(ANY_HEAD);
+      await fixture.clock.advance(0);
+      const deadline = fixture.clock.monotonicNow() + 20_000;
+      log.faults.set({loseAnswers: 1, answerDelayMilliseconds: 1});
+      const result = follower.append('skipped', deadline);
+      await fixture.clock.advance(0);
+      log.faults.set({silent: true});
+      expect(fixture.service.records('s')).toHaveLength(1);
+      await fixture.clock.advance(1);
+      await jump(fixture, kind, follower);
+      expect(follower.state()).toHaveLength(kind === 'seeded state' ? 3 : 0);
+      log.faults.clear();
+      await fixture.clock.advance(20_000);
+      expect(follower.nextOffset()).toBe(fixture.service.appends());
+      expect((await result).swap().extract()).toBeInstanceOf(UncertainError);
+      fixture.stop();
+    },
+  );
+
+  // Guards against an append that is reported as applied although its record
+  // was not read, so that it may have expired or be missing from the state.
+  it.each(JUMPS)(
+    'is uncertain when a %s skips a record of known offset',
+    async kind => {
+      const fixture = new Fixture();
+      const {follower, log} = fixture.add(ANY_HEAD);
+      log.faults.set({delayMilliseconds: 10});
+      const deadline = fixture.clock.monotonicNow() + 20_000;
+      const result = follower.append('skipped', deadline);
+      await fixture.clock.advance(15);
+      expect(fixture.service.records('s')).toHaveLength(1);
+      expect(follower.nextOffset()).toBe(0);
+      await jump(fixture, kind, follower);
+      await fixture.clock.advance(20_000);
+      expect(follower.nextOffset()).toBeGreaterThan(0);
+      expect((await result).swap().extract()).toBeInstanceOf(UncertainError);
+      fixture.stop();
+    },
+  );
+
+  // Guards against a record that is reported as in doubt although it was read
+  // after the follower had moved past others.
+  it.each(JUMPS)('finds a record that follows a %s', async kind => {
+    const fixture = new Fixture();
+    const {follower, log} = fixture.start(ANY_HEAD);
+    await fixture.clock.advance(0);
+    log.faults.set({holdWrites: true, loseAnswers: 1});
+    const deadline = fixture.clock.monotonicNow() + 20_000;
+    const result = follower.append('later', deadline);
+    await fixture.clock.advance(1);
+    log.faults.set({silent: true});
+    await jump(fixture, kind, follower);
+    log.faults.set({silent: false});
+    await fixture.clock.advance(6_000);
+    expect(follower.nextOffset()).toBe(fixture.service.appends());
+    log.faults.set({holdWrites: false});
+    await fixture.clock.advance(14_000);
+    const {offset} = follower.state().find(entry => entry.body === 'later')!;
+    expect((await result).extract()).toBe(offset);
+    fixture.stop();
+  });
+
   // Guards against a state that is lost when the log drops its oldest records,
   // and against records lost between a snapshot's state and its own offset.
   it('starts from a snapshot when the head was trimmed', async () => {
--- a/packages/log-follower/src/log_follower.ts
+++ b/packages/log-follower/src/log_follower.ts
@@ -210,14 +210,17 @@
         return Left(UncertainError.create('not read back', details));
       }
     }
-    // A snapshot or a seeded state may have skipped the record itself.
-    return append.outcome() ? this.readOutcome(append) : Right(offset);
+    if (append.outcome()) return this.readOutcome(append);
+    // Whether the record had expired, or is part of the state, is unknown.
+    const details = {id: append.id, offset};
+    return Left(UncertainError.create('the record was skipped', details));
   }
 
   /**
    * Resolves an append whose answer was lost. Its absence from the tail proves
    * nothing while it may still be on its way, so a proof of absence is a read
-   * sent after any arrival would be too late to have an effect.
+   * sent after any arrival would be too late to have an effect. Such a read
+   * proves nothing either when the record may be among skipped ones.
    */
   private async resolveByReading(
     append: PendingAppend,
@@ -235,6 +238,10 @@
       .map(read => read.sentAt >= arrival.settledAt)
       .orDefault(false);
     const details = {id: append.id, stream: this.options.stream};
+    if (append.isPossiblySkipped()) {
+      const message = 'the record may have been skipped';
+      return Left(UncertainError.create(message, details));
+    }
     return isProved
       ? Left(UnavailableError.create('the append did not arrive', details))
       : Left(UncertainError.create('the append may still arrive', details));
@@ -410,7 +417,7 @@
   private skipTrimmed(head: number): void {
     if (head <= this.next) return;
     this.count('log.trimmed.skipped', head - this.next);
-    this.next = head;
+    this.skipTo(head);
   }
 
   private applyPage(page: LogPage): void {
@@ -463,10 +470,16 @@
 
   private replaceState(state: State, nextOffset: number): void {
     this.current = state;
-    this.next = nextOffset;
+    this.skipTo(nextOffset);
     this.notify();
   }
 
+  /** Moves past records without reading them. */
+  private skipTo(offset: number): void {
+    this.next = offset;
+    for (const append of this.pending.values()) append.noteSkip();
+  }
+
   private notify(): void {
     for (const listener of [...this.listeners]) listener(this.current);
   }
--- a/packages/log-follower/src/pending_append.ts
+++ b/packages/log-follower/src/pending_append.ts
@@ -5,6 +5,7 @@
 export class PendingAppend {
   private readonly controller = new AbortController();
   private result: Outcome | undefined;
+  private mayBeSkipped = false;
 
   private constructor(readonly id: string) {}
 
@@ -21,6 +22,16 @@
     return this.result;
   }
 
+  /** Whether the record may be among those that the follower did not read. */
+  isPossiblySkipped(): boolean {
+    return this.mayBeSkipped;
+  }
+
+  /** Notes that the follower moved past records that it did not read. */
+  noteSkip(): void {
+    this.mayBeSkipped = true;
+  }
+
   /** Notes the record; a second one of the same append changes nothing. */
   resolve(outcome: Outcome): void {
     this.result ??= outcome;
