--- a/packages/demo/src/demo.ts
+++ b/packages/demo/src/demo.ts
@@ -1,3 +1,4 @@
+import {InternalError} from '@cardamomfield/errors';
 import {Caller, LocalCluster} from '@cardamomfield/local-cluster';
 import type {RequestView} from '@cardamomfield/peer-protocol';
 import {mergeTimelines, type TimelineEvent} from '@cardamomfield/timeline';
@@ -16,7 +17,7 @@
 export class Demo {
   private constructor(
     private readonly cluster: LocalCluster,
-    private readonly callers: Caller[],
+    private callers: Caller[],
   ) {}
 
   static async create(): Promise<Demo> {
@@ -40,7 +41,7 @@
     try {
       await this.showRequests();
       await this.drainWorker();
-      const events = await this.killEntryHost();
+      const events = await this.killOwner();
       await this.showTimeline(events);
     } finally {
       await this.cluster.stop();
@@ -116,14 +117,18 @@
     say(`The live watch moved from ${before} to ${after}.`);
   }
 
-  /** Kills an entry host and shows that work goes on through the others. */
-  private async killEntryHost(): Promise<TimelineEvent[][]> {
-    const [, , third] = this.callers;
-    const last = (await third?.read('/v1/timeline')) as TimelineEvent[];
-    say('Killing entry-3 ...');
-    await this.cluster.entries.get('entry-3')?.process.kill();
+  /** Kills an owner and shows that work goes on through the others. */
+  private async killOwner(): Promise<TimelineEvent[][]> {
+    const victim = await this.findOwner();
+    const last = (await victim.read('/v1/timeline')) as TimelineEvent[];
+    const entry = [...this.cluster.entries.values()].find(
+      ({url}) => url === victim.url,
+    );
+    say(`Killing ${entry?.name}, which owns a worker group ...`);
+    await entry?.process.kill();
     const started = performance.now();
-    for (const caller of this.callers.slice(0, 2)) {
+    this.callers = this.callers.filter(caller => caller !== victim);
+    for (const caller of this.callers) {
       report(
         'post check after the kill',
         await caller.submit({
@@ -136,16 +141,21 @@
     await this.waitForOwners();
     const seconds = ((performance.now() - started) / 1_000).toFixed(1);
     say(`All worker groups have a live owner again after ${seconds} s.`);
-    report('live watch', await this.callers[0]?.show('live-watch-1'));
-    report(
-      'live watch cancelled',
-      await this.callers[0]?.cancel('live-watch-1'),
-    );
+    const [first] = this.callers;
+    report('live watch', await first?.show('live-watch-1'));
+    report('live watch cancelled', await first?.cancel('live-watch-1'));
     return [last];
   }
 
+  private async findOwner(): Promise<Caller> {
+    for (const caller of [...this.callers].reverse()) {
+      if ((await heldRacks(caller)) > 0) return caller;
+    }
+    throw InternalError.create('no entry host owns a worker group');
+  }
+
   private async showTimeline(events: TimelineEvent[][]): Promise<void> {
-    for (const caller of this.callers.slice(0, 2)) {
+    for (const caller of this.callers) {
       events.push((await caller.read('/v1/timeline')) as TimelineEvent[]);
     }
     const merged = mergeTimelines(events);
@@ -174,20 +184,21 @@
 
   private async waitForOwners(): Promise<void> {
     await this.cluster.waitFor(async () => {
-      const survivors = this.callers.slice(0, 2);
-      const statuses = await Promise.all(
-        survivors.map(caller => caller.read('/v1/status')),
-      );
-      const held = statuses.flatMap(status =>
-        (status as Status).ownership.groups.filter(
-          ({group, isHeld}) => group.startsWith('rack-') && isHeld,
-        ),
-      );
-      return held.length === RACKS;
+      const held = await Promise.all(this.callers.map(heldRacks));
+      return held.reduce((sum, count) => sum + count, 0) === RACKS;
     });
   }
 }
 
+/** Number of racks that an entry host has authority over. */
+async function heldRacks(caller: Caller): Promise<number> {
+  const status = (await caller.read('/v1/status')) as Status;
+  const held = status.ownership.groups.filter(
+    ({group, isHeld}) => group.startsWith('rack-') && isHeld,
+  );
+  return held.length;
+}
+
 interface Status {
   ownership: {groups: Array<{group: string; isHeld: boolean}>};
 }
--- a/packages/entry-host/src/entry_host.ts
+++ b/packages/entry-host/src/entry_host.ts
@@ -25,6 +25,10 @@
       clock: base.clock,
       timeline: base.timeline,
       peers: () => base.network.livePeers(),
+      traffic: () => ({
+        byPeer: mesh.traffic.byPeer(),
+        byOtherRegion: mesh.traffic.byOtherRegion(),
+      }),
     });
     this.server = CallerServer.create({
       ...base,
--- a/packages/entry-host/src/operator_view.ts
+++ b/packages/entry-host/src/operator_view.ts
@@ -34,6 +34,8 @@
   requests: RequestCoordinator;
   timeline: Timeline;
   peers: () => readonly string[];
+  /** Bytes and messages to and from peers. */
+  traffic: () => unknown;
 }
 
 /** Answers operators from the parts of this entry host. */
@@ -61,6 +63,7 @@
       isStopping: this.isStopping,
       configurationVersion: configuration.current()?.version ?? null,
       peers: peers(),
+      traffic: this.options.traffic(),
       ownership: ownership.status(),
       unfinishedRequests: requests.countUnfinished(),
       summary: owner.summary(),
--- a/packages/local-cluster/src/managed_process.ts
+++ b/packages/local-cluster/src/managed_process.ts
@@ -53,6 +53,11 @@
     );
   }
 
+  /** Process number; undefined when the process could not start. */
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   /** Whether the process still runs. */
   isRunning(): boolean {
     return this.child.exitCode === null && this.child.signalCode === null;
