--- a/packages/entry-host/src/entry_host.ts
+++ b/packages/entry-host/src/entry_host.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {CallerServer} from '@cardamomfield/caller-api';
 import type {PeerMesh} from '@cardamomfield/peers';
 import type {DependencyContainer} from 'tsyringe';
@@ -6,9 +7,12 @@
 import {OperatorView} from './operator_view.js';
 import {TOKENS} from './tokens.js';
 
+/** Above the number of tasks that end with the process. */
+const MAXIMUM_LISTENERS = 1_000;
+
 /** The daemon of one entry host, for `cardamomfield entry` and embedders. */
 export class EntryHost {
-  private readonly controller = new AbortController();
+  private readonly controller = createController();
   private readonly operator: OperatorView;
   private readonly server: CallerServer;
 
@@ -73,3 +77,10 @@
     base.logger.info('entry host stopped');
   }
 }
+
+/** Every long-lived task listens to the one signal that ends them. */
+function createController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(MAXIMUM_LISTENERS, controller.signal);
+  return controller;
+}
--- a/packages/group-owner/src/task_stopper.ts
+++ b/packages/group-owner/src/task_stopper.ts
@@ -1,3 +1,4 @@
+import type {TaskStart, WorkerClient} from '@cardamomfield/platform';
 import {formatTaskIdentity} from '@cardamomfield/types';
 import type {OwnedTask} from './owned_task.js';
 import type {OwnerContext} from './owner_context.js';
@@ -7,6 +8,8 @@
 /** Pause after a stop that could not be confirmed. */
 const RETRY_PAUSE_MILLISECONDS = 500;
 
+type Checkpoint = TaskStart['checkpoint'];
+
 interface Stop {
   task: OwnedTask;
   withCheckpoint: boolean;
@@ -96,11 +99,11 @@
 
   private async saveState(
     task: OwnedTask,
-    client: WorkerSessions['clientType'],
-  ): Promise<never | undefined> {
+    client: WorkerClient,
+  ): Promise<Checkpoint | undefined> {
     const {clock, settings} = this.context;
     const deadline = clock.monotonicNow() + settings.commandMilliseconds;
     const saved = await client.checkpoint(task.identity, deadline);
-    return saved.toMaybe().extract() as never | undefined;
+    return saved.toMaybe().extract() as Checkpoint | undefined;
   }
 }
--- a/packages/group-owner/src/worker_sessions.ts
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -1,8 +1,4 @@
-import type {
-  WorkerClient,
-  WorkerConnector,
-  WorkerSnapshot,
-} from '@cardamomfield/platform';
+import type {WorkerConnector, WorkerSnapshot} from '@cardamomfield/platform';
 import type {ConfigurationState, Rack, Worker} from '@cardamomfield/types';
 import {groupWorkersByRack} from './group_workers_by_rack.js';
 import type {OwnerContext} from './owner_context.js';
@@ -25,9 +21,6 @@
 
 /** The workers of all groups that this process owns. */
 export class WorkerSessions {
-  /** Only names the type of the clients. */
-  declare readonly clientType: WorkerClient;
-
   private readonly sessions = new Map<string, WorkerSession>();
   private readonly openings = new Map<string, Opening>();
   private leaving: ReadonlySet<string> = new Set();
