--- a/packages/clock/src/notifier.ts
+++ b/packages/clock/src/notifier.ts
@@ -14,7 +14,8 @@
   notify(): void {
     const woken = this.controller;
     this.controller = new AbortController();
-    woken.abort();
+    // A given reason spares an exception with its stack for each wake-up.
+    woken.abort('notified');
   }
 
   /**
--- a/packages/entry-host/src/configuration_checker.ts
+++ b/packages/entry-host/src/configuration_checker.ts
@@ -28,12 +28,23 @@
       return Left(UnavailableError.create(message));
     }
     const {state} = current;
-    return checkNames(submission, state).map(() =>
-      refuseNeverRunnable(submission, state),
+    return checkNames(submission, state).map(
+      () => refuseGang(submission) ?? refuseNeverRunnable(submission, state),
     );
   }
 }
 
+/**
+ * The daemon can't yet start the tasks of a gang together, and starting them
+ * one by one is not what the caller asked for.
+ */
+function refuseGang(submission: Submission): FinalAnswer | undefined {
+  if (submission.kind !== 'gang' || submission.taskCount === 1) return;
+  const message = 'gangs of several tasks are not supported yet';
+  const reason = {code: 'not-supported', message};
+  return {outcome: 'not-run', key: submission.key, reason};
+}
+
 /** A job that no inventory state can run is refused at once. */
 function refuseNeverRunnable(
   submission: Submission,
--- a/packages/group-owner/src/worker_session.ts
+++ b/packages/group-owner/src/worker_session.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@cardamomfield/clock';
 import type {WorkerClient, WorkerSnapshot} from '@cardamomfield/platform';
-import type {Worker} from '@cardamomfield/types';
+import type {Rack, Worker} from '@cardamomfield/types';
 import type {GroupOwnerSettings} from './group_owner_settings.js';
 
 interface WorkerSessionOptions {
@@ -21,12 +21,21 @@
   onReachability: (session: WorkerSession) => void;
 }
 
+/** What the scheduler was told of a worker. */
+interface WorkerDescription {
+  worker: Worker;
+  rack: Rack;
+  state: 'active' | 'leaving';
+  weight: number;
+}
+
 /** The owner's task for one worker: follows the worker's list of tasks. */
 export class WorkerSession {
   /** Whether the latest read succeeded; false before the first. */
   isReadable = false;
   incarnation: string | undefined;
 
+  private description: WorkerDescription | undefined;
   private sequence = 0;
   private isFullReadWanted = true;
   private readonly controller = new AbortController();
@@ -46,6 +55,18 @@
     return this.options.client;
   }
 
+  /** Whether the scheduler was told the same before; notes it if not. */
+  isDescribedAs(description: WorkerDescription): boolean {
+    const known = this.description;
+    this.description = description;
+    return (
+      known?.worker === description.worker &&
+      known.rack === description.rack &&
+      known.state === description.state &&
+      known.weight === description.weight
+    );
+  }
+
   /** Makes the next read list all tasks, at once. */
   requestFullRead(): void {
     this.isFullReadWanted = true;
--- a/packages/group-owner/src/worker_sessions.ts
+++ b/packages/group-owner/src/worker_sessions.ts
@@ -180,6 +180,10 @@
       this.configuration?.workers[session.worker.name] ?? session.worker;
     const rack = this.rackOf(worker);
     if (!rack) return;
+    const state = this.isLeaving(worker.name) ? 'leaving' : 'active';
+    const weight = this.weightOf(worker, session);
+    // Most looks find nothing new, and an owner may have hundreds of workers.
+    if (session.isDescribedAs({worker, rack, state, weight})) return;
     scheduler.setWorker({
       name: worker.name,
       group: worker.rack,
@@ -187,8 +191,8 @@
       availabilityZone: rack.availabilityZone,
       services: worker.services,
       capacity: worker.capacity,
-      state: this.isLeaving(worker.name) ? 'leaving' : 'active',
-      weight: this.weightOf(worker, session),
+      state,
+      weight,
     });
   }
 
--- a/packages/local-cluster/src/process_faults.test.ts
+++ b/packages/local-cluster/src/process_faults.test.ts
@@ -175,6 +175,16 @@
     });
   });
 
+  // Guards against a gang whose tasks start one by one.
+  it('refuses a gang that it can not start together', async () => {
+    const ask = {...WORK, kind: 'gang', taskCount: 2};
+    const reply = await callers[0]?.submit(ask);
+    expect(reply?.body.answer).toMatchObject({
+      outcome: 'not-run',
+      reason: {code: 'not-supported'},
+    });
+  });
+
   // Guards against idempotent work that stops with the log, and against a
   // non-idempotent start without a record.
   it('goes on without the log, apart from non-idempotent requests', async () => {
--- a/packages/ownership/src/wakeup.ts
+++ b/packages/ownership/src/wakeup.ts
@@ -14,7 +14,8 @@
   wake(): void {
     const woken = this.controller;
     this.controller = new AbortController();
-    woken.abort();
+    // A given reason spares an exception with its stack for each wake-up.
+    woken.abort('notified');
   }
 
   /** Resolves at the deadline, at the next `wake`, or when the signal aborts. */
