--- a/packages/peer-protocol/src/place_order.ts
+++ b/packages/peer-protocol/src/place_order.ts
@@ -22,7 +22,5 @@
    * passed, an owner that does not know the tasks never will.
    */
   notAfter: z.int(),
-  /** Commits the capacity of an earlier hold of this gang. */
-  fromHold: z.boolean(),
 });
 export type PlaceOrder = z.infer<typeof PlaceOrder>;
--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -222,7 +222,6 @@
       ],
       excludedWorkers: [...this.excludedWorkers],
       notAfter: this.confirmedAt + PLACE_TIMEOUT_MILLISECONDS,
-      fromHold: false,
     };
   }
 
