--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -43,12 +43,12 @@
 };
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**']},
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   prettier,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     plugins: {
       project: {rules: {'file-name': fileName, 'one-export': oneExport}},
     },
--- /dev/null
+++ b/packages/cell-host/src/cell_host.ts
@@ -0,0 +1,334 @@
+import type {HostRecord} from '@cardamomfield/cell-model';
+import {type Clock} from '@cardamomfield/clock';
+import {type TypedError, UnavailableError} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {
+  type AdviceChannel,
+  type ShardClaim,
+  ShardOwner,
+} from '@cardamomfield/shard-owner';
+import {type Either, Left, Right} from 'purify-ts';
+import type {CellPorts} from './cell_ports.js';
+import type {CellSettings} from './cell_settings.js';
+import {DesiredStateKeeper} from './desired_state_keeper.js';
+import {Membership} from './membership.js';
+import {NotOwnerError} from './not_owner_error.js';
+import {OwnerElection} from './owner_election.js';
+import type {PeerClient} from './peer_client.js';
+import {PeerMessages} from './peer_messages.js';
+import {PeerMethod} from './peer_method.js';
+import type {PeerServer} from './peer_server.js';
+import {RemoteAdviser} from './remote_adviser.js';
+import {ShardGateway} from './shard_gateway.js';
+
+/** Time for one call that introduces this host to another. */
+const INTRODUCE_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Pause between tries to announce this host. */
+const ANNOUNCE_RETRY_MILLISECONDS = 1_000;
+
+/** Time for a successor to take the shard. */
+const TAKE_TIMEOUT_MILLISECONDS = 1_200;
+
+/** A host that has not heard of an owner for this long is not ready. */
+const READY_SILENCE_MILLISECONDS = 3_000;
+
+interface CellHostOptions {
+  settings: CellSettings;
+  ports: CellPorts;
+  peers: PeerClient;
+  server: PeerServer;
+  clock: Clock;
+  logger: Logger;
+  random: () => number;
+  /** New after each start of the process. */
+  incarnation: string;
+}
+
+/** One host of the cell: takes requests, and owns the shard when chosen. */
+export class CellHost {
+  readonly desiredState: DesiredStateKeeper;
+  readonly gateway: ShardGateway;
+  readonly membership: Membership;
+  private readonly election: OwnerElection;
+  private readonly stopping = new AbortController();
+  private owner: ShardOwner | undefined;
+
+  private constructor(private readonly options: CellHostOptions) {
+    const {settings, peers, clock, logger, ports} = options;
+    const self: HostRecord = {
+      name: settings.hostName,
+      address: settings.peerAddress,
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+      incarnation: options.incarnation,
+    };
+    this.membership = Membership.create(self, clock, logger);
+    this.desiredState = DesiredStateKeeper.create(logger);
+    this.gateway = ShardGateway.create({
+      membership: this.membership,
+      peers,
+      clock,
+      localOwner: () => this.owner,
+    });
+    this.election = OwnerElection.create({
+      membership: this.membership,
+      peers,
+      log: ports.log,
+      clock,
+      logger,
+      shard: settings.shard,
+      random: options.random,
+      isOwner: () => this.owner !== undefined,
+      desiredStateVersion: () => this.desiredState.version,
+      onNewerDesiredState: address => void this.introduce(address),
+      onClaimed: claim => this.becomeOwner(claim),
+    });
+    this.addMethods(options.server);
+  }
+
+  static create(options: CellHostOptions): CellHost {
+    return new CellHost(options);
+  }
+
+  /** Runs until `stop`. */
+  async run(): Promise<void> {
+    const {ports, settings} = this.options;
+    const {signal} = this.stopping;
+    for (const address of settings.seedAddresses) {
+      if (address !== settings.peerAddress) void this.introduce(address);
+    }
+    await Promise.all([
+      this.announce(),
+      ports.hosts.follow(
+        {
+          onHost: host => this.membership.takeHost(host),
+          onOwner: owner => this.membership.takeOwner(owner),
+        },
+        signal,
+      ),
+      ports.desiredState.follow(state => this.desiredState.take(state), signal),
+      this.election.run(),
+    ]);
+  }
+
+  get isOwner(): boolean {
+    return this.owner !== undefined;
+  }
+
+  /** True while new connections should come to this host. */
+  get isReady(): boolean {
+    if (this.stopping.signal.aborted || this.isLeaving) return false;
+    if (!this.desiredState.state) return false;
+    if (this.owner) return true;
+    const silence =
+      this.options.clock.monotonicNow() - this.membership.heardOwnerAt;
+    return silence < READY_SILENCE_MILLISECONDS;
+  }
+
+  private isLeaving = false;
+
+  /** Hands the shard to another host; requests are still taken. */
+  async leave(): Promise<void> {
+    this.isLeaving = true;
+    this.election.stop();
+    if (!this.owner) return;
+    for (const host of this.membership.answeringPeers()) {
+      const result = await this.options.peers.call(
+        host.address,
+        PeerMethod.take,
+        {},
+        PeerMessages.empty,
+        TAKE_TIMEOUT_MILLISECONDS,
+      );
+      this.options.logger.info('shard handed over', {
+        to: host.name,
+        isTaken: result.isRight(),
+      });
+      if (result.isRight()) break;
+    }
+    this.dropOwner();
+  }
+
+  stop(): void {
+    this.isLeaving = true;
+    this.stopping.abort();
+    this.election.stop();
+    this.dropOwner();
+  }
+
+  private dropOwner(): void {
+    this.owner?.stop();
+    this.owner = undefined;
+  }
+
+  private async announce(): Promise<void> {
+    const {ports, clock, logger} = this.options;
+    while (!this.stopping.signal.aborted) {
+      const result = await ports.hosts.announceHost(this.membership.self);
+      if (result.isRight()) return;
+      logger.warn('host not announced', {
+        cause: (result.extract() as TypedError).message,
+      });
+      await clock.sleepUntil(
+        clock.monotonicNow() + ANNOUNCE_RETRY_MILLISECONDS,
+      );
+    }
+  }
+
+  /** Tells another host of this one and learns what it knows. */
+  private async introduce(address: string): Promise<void> {
+    const result = await this.options.peers.call(
+      address,
+      PeerMethod.introduce,
+      {host: this.membership.self},
+      PeerMessages.introduceResult,
+      INTRODUCE_TIMEOUT_MILLISECONDS,
+    );
+    if (result.isLeft()) return;
+    const {hosts, owner, desiredState} = result.unsafeCoerce();
+    for (const host of hosts) this.membership.takeHost(host);
+    if (owner) this.membership.takeOwner(owner);
+    if (desiredState) this.desiredState.take(desiredState);
+  }
+
+  private becomeOwner(claim: ShardClaim): void {
+    const {ports, clock, logger, settings} = this.options;
+    if (this.stopping.signal.aborted) return;
+    const owner = ShardOwner.create({
+      claim,
+      log: ports.log,
+      links: ports.links,
+      directory: ports.workers,
+      adviceChannels: () => this.adviceChannels(),
+      clock,
+      logger,
+      timing: settings.timing,
+      onLost: () => {
+        if (this.owner === owner) this.owner = undefined;
+      },
+    });
+    this.owner = owner;
+    void owner.run();
+    void this.announceOwner(claim);
+  }
+
+  private async announceOwner(claim: ShardClaim): Promise<void> {
+    const {ports, logger, peers} = this.options;
+    // Peers learn of the claim from this call before the directory shows it.
+    for (const host of this.membership.answeringPeers()) {
+      void peers.call(
+        host.address,
+        PeerMethod.introduce,
+        {host: this.membership.self, owner: claim.owner},
+        PeerMessages.introduceResult,
+        INTRODUCE_TIMEOUT_MILLISECONDS,
+      );
+    }
+    const result = await ports.hosts.announceOwner(claim.owner);
+    if (result.isLeft()) {
+      logger.warn('owner not announced', {
+        cause: (result.extract() as TypedError).message,
+      });
+    }
+  }
+
+  private adviceChannels(): AdviceChannel[] {
+    const {ports, peers} = this.options;
+    const channels: AdviceChannel[] = [];
+    if (ports.adviser) {
+      channels.push({
+        hostName: this.membership.self.name,
+        adviser: ports.adviser,
+      });
+    }
+    for (const host of this.membership.answeringPeers()) {
+      channels.push({
+        hostName: host.name,
+        adviser: RemoteAdviser.create(peers, host.address),
+      });
+    }
+    return channels;
+  }
+
+  private addMethods(server: PeerServer): void {
+    const {ports, clock} = this.options;
+    server.handle(PeerMethod.ping, PeerMessages.empty, async () =>
+      Right({
+        isOwner: this.owner !== undefined,
+        epoch: this.owner?.epoch ?? 0,
+        isLogDown: this.owner?.isLogDown() ?? false,
+        desiredStateVersion: this.desiredState.version,
+        owner: this.membership.owner,
+      }),
+    );
+    server.handle(PeerMethod.hears, PeerMessages.empty, async () =>
+      Right({
+        epoch: this.membership.owner?.epoch ?? 0,
+        heardMillisecondsAgo: this.owner
+          ? 0
+          : Math.min(clock.monotonicNow() - this.membership.heardOwnerAt, 1e9),
+      }),
+    );
+    server.handle(PeerMethod.introduce, PeerMessages.introduce, async call => {
+      this.membership.takeHost(call.host);
+      if (call.owner) this.membership.takeOwner(call.owner);
+      return Right({
+        hosts: [this.membership.self, ...this.membership.peers()],
+        owner: this.membership.owner,
+        desiredState: this.desiredState.state,
+      });
+    });
+    server.handle(PeerMethod.take, PeerMessages.empty, async () => {
+      if (this.isLeaving) {
+        return Left(UnavailableError.create('this host is leaving too'));
+      }
+      await this.election.claim('handed over');
+      return this.owner ? Right({}) : Left(NotOwnerError.create());
+    });
+    server.handle(PeerMethod.submit, PeerMessages.submit, call =>
+      this.withOwner(owner =>
+        owner.submit(call.id, call.queue, call.specification),
+      ),
+    );
+    server.handle(PeerMethod.show, PeerMessages.submissionId, call =>
+      this.withOwner(async owner =>
+        owner.show(call.id).map(state => ({state})),
+      ),
+    );
+    server.handle(PeerMethod.cancel, PeerMessages.submissionId, call =>
+      this.withOwner(owner => owner.cancel(call.id)),
+    );
+    server.handle(PeerMethod.countPending, PeerMessages.queueName, call =>
+      this.withOwner(async owner =>
+        Right({count: owner.countPending(call.queueName)}),
+      ),
+    );
+    server.handle(PeerMethod.ask, PeerMessages.ask, async call => {
+      if (!ports.adviser) {
+        return Left(UnavailableError.create('this host has no advice service'));
+      }
+      const advice = await ports.adviser.ask(
+        call.stepName,
+        call.workerIds,
+        call.timeoutMilliseconds,
+      );
+      return advice.map(value => ({
+        tickets: [...value.tickets],
+        validMilliseconds: value.validMilliseconds,
+      }));
+    });
+    server.handle(PeerMethod.relay, PeerMessages.relay, async call =>
+      Right({
+        response: await ports.relay(call.request, call.timeoutMilliseconds),
+      }),
+    );
+  }
+
+  private async withOwner<Value>(
+    work: (owner: ShardOwner) => Promise<Either<TypedError, Value>>,
+  ): Promise<Either<TypedError, Value>> {
+    if (!this.owner) return Left(NotOwnerError.create());
+    return work(this.owner);
+  }
+}
--- /dev/null
+++ b/packages/cell-host/src/cell_ports.ts
@@ -0,0 +1,21 @@
+import type {
+  Adviser,
+  DesiredStateSource,
+  HostDirectory,
+  ShardLog,
+  WorkerDirectory,
+  WorkerLinks,
+} from '@cardamomfield/cell-model';
+
+/** Everything a host needs from outside. */
+export interface CellPorts {
+  log: ShardLog;
+  hosts: HostDirectory;
+  workers: WorkerDirectory;
+  links: WorkerLinks;
+  /** Undefined when the cell has no advice service. */
+  adviser: Adviser | undefined;
+  desiredState: DesiredStateSource;
+  /** Carries out a platform call for a host that the platform turns away. */
+  relay: (request: string, timeoutMilliseconds: number) => Promise<string>;
+}
--- /dev/null
+++ b/packages/cell-host/src/peer_messages.ts
@@ -0,0 +1,54 @@
+import {
+  DesiredState,
+  HostRecord,
+  OwnerRecord,
+  Queue,
+  SubmissionSpecification,
+  SubmissionState,
+} from '@cardamomfield/cell-model';
+import {z} from 'zod';
+
+/** Parameters and results of the calls between hosts, by method. */
+export const PeerMessages = {
+  pingResult: z.object({
+    isOwner: z.boolean(),
+    epoch: z.number(),
+    /** How long the owner's log has been failing; 0 when it is well. */
+    isLogDown: z.boolean(),
+    desiredStateVersion: z.number(),
+    /** The newest owner that the called host knows. */
+    owner: OwnerRecord.optional(),
+  }),
+  hearsResult: z.object({
+    epoch: z.number(),
+    /** Milliseconds since the owner last answered the called host. */
+    heardMillisecondsAgo: z.number(),
+  }),
+  submit: z.object({
+    id: z.string(),
+    queue: Queue,
+    specification: SubmissionSpecification,
+  }),
+  submissionId: z.object({id: z.string()}),
+  showResult: z.object({state: SubmissionState}),
+  queueName: z.object({queueName: z.string()}),
+  countResult: z.object({count: z.number().int()}),
+  ask: z.object({
+    stepName: z.string(),
+    workerIds: z.array(z.string()),
+    timeoutMilliseconds: z.number(),
+  }),
+  askResult: z.object({
+    tickets: z.array(z.tuple([z.string(), z.string()])),
+    validMilliseconds: z.number(),
+  }),
+  introduce: z.object({host: HostRecord, owner: OwnerRecord.optional()}),
+  introduceResult: z.object({
+    hosts: z.array(HostRecord),
+    owner: OwnerRecord.optional(),
+    desiredState: DesiredState.optional(),
+  }),
+  relay: z.object({request: z.string(), timeoutMilliseconds: z.number()}),
+  relayResult: z.object({response: z.string()}),
+  empty: z.object({}),
+};
--- /dev/null
+++ b/packages/cell-host/src/peer_server.ts
@@ -0,0 +1,102 @@
+import {type Server, createServer} from 'node:http';
+import {type TypedError, toTypedError} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {App} from '@tinyhttp/app';
+import {JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
+import type {Either} from 'purify-ts';
+import type {z} from 'zod';
+
+/** Application error code of JSON-RPC; the kind of failure is in the data. */
+const APPLICATION_ERROR = -32_000;
+
+/** Largest call between hosts: a submission and its envelope. */
+const MAXIMUM_BODY_BYTES = 4_000_000;
+
+/** Serves the calls of other hosts and the metrics page. */
+export class PeerServer {
+  private readonly methods = new JSONRPCServer();
+  private readonly server: Server;
+
+  private constructor(
+    private readonly logger: Logger,
+    renderMetrics: () => Promise<string>,
+  ) {
+    const app = new App({settings: {xPoweredBy: false}});
+    app.post('/rpc', async (request, response) => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      for await (const chunk of request) {
+        bytes += (chunk as Buffer).length;
+        if (bytes > MAXIMUM_BODY_BYTES) {
+          response.writeHead(413).end();
+          return;
+        }
+        chunks.push(chunk as Buffer);
+      }
+      const text = Buffer.concat(chunks).toString('utf8');
+      const answer = await this.methods.receiveJSON(text);
+      response.writeHead(200, {'content-type': 'application/json'});
+      response.end(JSON.stringify(answer ?? null));
+    });
+    app.get('/metrics', async (_request, response) => {
+      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+      response.end(await renderMetrics());
+    });
+    this.server = createServer((request, response) => {
+      void app.handler(request as never, response as never);
+    });
+  }
+
+  static create(
+    logger: Logger,
+    renderMetrics: () => Promise<string>,
+  ): PeerServer {
+    return new PeerServer(logger, renderMetrics);
+  }
+
+  /** Adds a method; its failures are sent with their code. */
+  handle<Parameters extends z.ZodType>(
+    method: string,
+    parameters: Parameters,
+    handler: (
+      value: z.infer<Parameters>,
+    ) => Promise<Either<TypedError, unknown>>,
+  ): void {
+    this.methods.addMethod(method, async (raw: unknown) => {
+      const parsed = parameters.safeParse(raw);
+      if (!parsed.success) {
+        this.logger.warn('call of a host malformed', {method});
+        throw new JSONRPCErrorException(
+          parsed.error.message,
+          APPLICATION_ERROR,
+          {
+            code: 'invalid-input',
+          },
+        );
+      }
+      const result = await handler(parsed.data).catch((thrown: unknown) => {
+        throw asException(toTypedError(thrown));
+      });
+      if (result.isRight()) return result.extract() ?? {};
+      throw asException(result.extract() as TypedError);
+    });
+  }
+
+  listen(address: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, () => resolve());
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+function asException(error: TypedError): JSONRPCErrorException {
+  return new JSONRPCErrorException(error.message, APPLICATION_ERROR, {
+    code: error.code,
+  });
+}
--- /dev/null
+++ b/packages/cell-model/src/advice.ts
@@ -0,0 +1,6 @@
+/** Which of the named workers may run a step. */
+export interface Advice {
+  /** Ticket by worker id, for the approved workers only. */
+  tickets: ReadonlyMap<string, string>;
+  validMilliseconds: number;
+}
--- /dev/null
+++ b/packages/cell-model/src/adviser.ts
@@ -0,0 +1,12 @@
+import type {TypedError} from '@cardamomfield/errors';
+import type {Either} from 'purify-ts';
+import type {Advice} from './advice.js';
+
+/** Asks which workers may run a step. */
+export interface Adviser {
+  ask(
+    stepName: string,
+    workerIds: string[],
+    timeoutMilliseconds: number,
+  ): Promise<Either<TypedError, Advice>>;
+}
--- /dev/null
+++ b/packages/cell-model/src/desired_state.ts
@@ -0,0 +1,11 @@
+import {z} from 'zod';
+import {Queue} from './queue.js';
+
+/** The operators' newest desired state, complete. */
+export const DesiredState = z.object({
+  version: z.number(),
+  queues: z.array(Queue),
+  services: z.array(z.object({name: z.string(), isOnStandby: z.boolean()})),
+  maximumBodyBytes: z.number(),
+});
+export type DesiredState = z.infer<typeof DesiredState>;
--- /dev/null
+++ b/packages/cell-model/src/host_record.ts
@@ -0,0 +1,13 @@
+import {z} from 'zod';
+
+/** A host of the cell as it announces itself to the others. */
+export const HostRecord = z.object({
+  name: z.string(),
+  /** Address for calls between hosts. */
+  address: z.string(),
+  region: z.string(),
+  availabilityZone: z.string(),
+  /** New after each start of the process. */
+  incarnation: z.string(),
+});
+export type HostRecord = z.infer<typeof HostRecord>;
--- /dev/null
+++ b/packages/cell-model/src/submission_state.ts
@@ -0,0 +1,11 @@
+import {z} from 'zod';
+
+/** The state of a submission as callers see it. */
+export const SubmissionState = z.enum([
+  'queued',
+  'running',
+  'completed',
+  'failed',
+  'cancelled',
+]);
+export type SubmissionState = z.infer<typeof SubmissionState>;
--- /dev/null
+++ b/packages/cell-model/src/worker_report.ts
@@ -0,0 +1,10 @@
+import type {RunEnd} from './run_end.js';
+import type {RunningTask} from './running_task.js';
+
+/** A worker's answer to a look. */
+export interface WorkerReport {
+  clock: number;
+  bornAtUnixMilliseconds: number;
+  running: RunningTask[];
+  ends: RunEnd[];
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/advice_wish.ts
@@ -0,0 +1,7 @@
+import type {StepState} from './step_state.js';
+
+/** A question for the advice service that is worth sending now. */
+export interface AdviceWish {
+  step: StepState;
+  workerIds: string[];
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/run.ts
@@ -0,0 +1,29 @@
+import type {StepState} from './step_state.js';
+import type {TaskState} from './task_state.js';
+
+/** One run of a task on one life of a worker, as the owner knows it. */
+export interface Run {
+  step: StepState;
+  task: TaskState;
+  attempt: number;
+  workerId: string;
+  /**
+   * `recording`: the intent is not durable yet; `ordering`: the start order is
+   * on its way or in doubt; `running`: the worker has it; `stopping`: a stop
+   * was decided and the end is not listed yet; `gone`: it holds nothing.
+   */
+  phase: 'recording' | 'ordering' | 'running' | 'stopping' | 'gone';
+  milliCores: number;
+  memoryMegabytes: number;
+  accelerators: number;
+  ticket: string;
+  /** Monotonic time of the placement. */
+  placedAt: number;
+  /** Monotonic time at which the worker confirmed the run. */
+  runningSince: number | undefined;
+  progressPercent: number;
+  /** Monotonic time of the last change of the progress. */
+  progressedAt: number;
+  load: number;
+  pacePercent: number;
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -0,0 +1,204 @@
+import type {AdviceWish} from './advice_wish.js';
+import type {Placement} from './placement.js';
+import type {SchedulingPass} from './scheduling_pass.js';
+import type {ShardState} from './shard_state.js';
+import type {StepState} from './step_state.js';
+import type {TaskState} from './task_state.js';
+import type {WaitingOrder} from './waiting_order.js';
+import type {WorkerChoice} from './worker_choice.js';
+import type {WorkerState} from './worker_state.js';
+
+/** Most workers that one question to the advice service may name. */
+const MAXIMUM_ADVISED_WORKERS = 100;
+
+/** A ticket is used only while it has at least this long to live. */
+const TICKET_MARGIN_MILLISECONDS = 150;
+
+/** Decides which waiting tasks start where. */
+export class Scheduler {
+  private constructor(
+    private readonly state: ShardState,
+    private readonly order: WaitingOrder,
+    private readonly choice: WorkerChoice,
+  ) {}
+
+  static create(
+    state: ShardState,
+    order: WaitingOrder,
+    choice: WorkerChoice,
+  ): Scheduler {
+    return new Scheduler(state, order, choice);
+  }
+
+  /**
+   * Goes over the waiting steps once. `place` is called for each placement and
+   * must take the worker's capacity at once.
+   */
+  pass(
+    now: number,
+    nowUnixMilliseconds: number,
+    place: (placement: Placement) => void,
+  ): SchedulingPass {
+    const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(step =>
+      step.tasks.some(task => isWaiting(task, now)),
+    );
+    const result: SchedulingPass = {placements: [], adviceWishes: []};
+    for (const step of this.order.sort(ready, nowUnixMilliseconds)) {
+      this.placeStep(step, now, result, place);
+    }
+    return result;
+  }
+
+  private placeStep(
+    step: StepState,
+    now: number,
+    result: SchedulingPass,
+    place: (placement: Placement) => void,
+  ): void {
+    const needsAdvice = step.submission.queue.advice !== undefined;
+    const workers = needsAdvice
+      ? this.ticketedWorkers(step, now)
+      : this.serviceWorkers(step);
+    const waiting = step.tasks.filter(task => isWaiting(task, now));
+    const placed = step.specification.isGang
+      ? this.placeGang(step, waiting, workers, now)
+      : this.placeSeparately(step, waiting, workers, now, place);
+    if (step.specification.isGang) placed.forEach(place);
+    result.placements.push(...placed);
+    if (!needsAdvice || placed.length === waiting.length) return;
+    const wish = this.wishFor(step, now);
+    if (wish) result.adviceWishes.push(wish);
+  }
+
+  private placeSeparately(
+    step: StepState,
+    waiting: TaskState[],
+    workers: WorkerState[],
+    now: number,
+    place: (placement: Placement) => void,
+  ): Placement[] {
+    const placed: Placement[] = [];
+    for (const task of waiting) {
+      const allowed = workers.filter(worker =>
+        this.choice.isAllowed(step, task, worker, now),
+      );
+      const rack = step.specification.isTightlyCoupled ? this.rackOf(step) : '';
+      const worker = this.choice.choose(step, task, allowed, rack);
+      if (!worker) continue;
+      const placement = this.placement(step, task, worker);
+      place(placement);
+      placed.push(placement);
+    }
+    return placed;
+  }
+
+  /** Places all members or none; capacity is counted on a scratch copy. */
+  private placeGang(
+    step: StepState,
+    waiting: TaskState[],
+    workers: WorkerState[],
+    now: number,
+  ): Placement[] {
+    if (waiting.length !== step.tasks.length) return [];
+    const {specification} = step;
+    const members: Placement[] = [];
+    const remaining = [...waiting];
+    const candidates = workers
+      .filter(worker => this.choice.isAllowed(step, waiting[0]!, worker, now))
+      .sort((a, b) => b.freeMilliCores - a.freeMilliCores);
+    for (const worker of candidates) {
+      const room = Math.min(
+        fitCount(
+          worker.freeMilliCores,
+          specification.usesSpareCapacity ? 0 : specification.milliCores,
+        ),
+        fitCount(worker.freeMemoryMegabytes, specification.memoryMegabytes),
+        fitCount(worker.freeAccelerators, specification.accelerators),
+        specification.maximumPerWorker || Infinity,
+        remaining.length,
+      );
+      for (let count = 0; count < room; count++) {
+        const task = remaining.shift();
+        if (task) members.push(this.placement(step, task, worker));
+      }
+      if (remaining.length === 0) return members;
+    }
+    return [];
+  }
+
+  /** The rack of the step's first running task; empty when none runs. */
+  private rackOf(step: StepState): string {
+    const workerId = step.tasks.find(task => task.run)?.run?.workerId ?? '';
+    return this.state.workers.get(workerId)?.rack ?? '';
+  }
+
+  private placement(
+    step: StepState,
+    task: TaskState,
+    worker: WorkerState,
+  ): Placement {
+    const ticket = step.advice.tickets.get(worker.id)?.ticket ?? '';
+    return {step, task, worker, ticket};
+  }
+
+  private serviceWorkers(step: StepState): WorkerState[] {
+    const {service} = step.submission.queue;
+    return [...this.state.workers.values()].filter(
+      worker => worker.description.service === service,
+    );
+  }
+
+  private ticketedWorkers(step: StepState, now: number): WorkerState[] {
+    const workers: WorkerState[] = [];
+    for (const [id, ticket] of step.advice.tickets) {
+      const worker = this.state.workers.get(id);
+      if (!worker) continue;
+      if (worker.description.bornAtUnixMilliseconds !== ticket.workerBornAt) {
+        continue;
+      }
+      if (ticket.validUntil - TICKET_MARGIN_MILLISECONDS > now) {
+        workers.push(worker);
+      }
+    }
+    return workers;
+  }
+
+  /** The question to ask for a step that still has waiting tasks. */
+  private wishFor(step: StepState, now: number): AdviceWish | undefined {
+    const {advice} = step;
+    if (advice.isAsking || advice.notBefore > now) return undefined;
+    const named: string[] = [];
+    let hasRoom = false;
+    for (const worker of this.serviceWorkers(step)) {
+      if (worker.description.state !== 'ready') continue;
+      if (!this.choice.hasLabel(step, worker)) continue;
+      const isNew = !advice.asked.has(askedKey(worker));
+      const ticket = advice.tickets.get(worker.id);
+      if (!isNew && !ticket) continue;
+      const isFresh =
+        ticket !== undefined &&
+        ticket.workerBornAt === worker.description.bornAtUnixMilliseconds &&
+        ticket.validUntil - TICKET_MARGIN_MILLISECONDS > now;
+      if (!isFresh && worker.isUsable && this.choice.hasRoom(step, worker)) {
+        hasRoom = true;
+      }
+      named.push(worker.id);
+    }
+    if (named.length === 0) return undefined;
+    const isFirst = advice.asked.size === 0;
+    if (!isFirst && !hasRoom) return undefined;
+    return {step, workerIds: named.slice(0, MAXIMUM_ADVISED_WORKERS)};
+  }
+}
+
+function isWaiting(task: TaskState, now: number): boolean {
+  return task.phase === 'waiting' && task.notBefore <= now;
+}
+
+function fitCount(free: number, need: number): number {
+  return need === 0 ? Infinity : Math.floor(free / need);
+}
+
+function askedKey(worker: WorkerState): string {
+  return `${worker.id}@${worker.description.bornAtUnixMilliseconds}`;
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/step_progress.ts
@@ -0,0 +1,25 @@
+import {z} from 'zod';
+
+/** One task in a step's progress record. */
+const TaskProgress = z.tuple([
+  /** 0 waiting, 1 placed, 2 done. */
+  z.number().int().min(0).max(2),
+  /** Number of the last attempt. */
+  z.number().int(),
+  /** Runs that ended as failed. */
+  z.number().int(),
+  /** Worker of the placed run. */
+  z.string(),
+  /** Start of that worker's life in Unix milliseconds. */
+  z.number(),
+  /** Newest known checkpoint. */
+  z.string(),
+]);
+
+/** The durable progress of one step. */
+export const StepProgress = z.object({
+  gangAttempt: z.number().int(),
+  gangFailures: z.number().int(),
+  tasks: z.array(TaskProgress),
+});
+export type StepProgress = z.infer<typeof StepProgress>;
--- /dev/null
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -0,0 +1,56 @@
+import type {StepSpecification} from '@cardamomfield/cell-model';
+import {StepAdvice} from './step_advice.js';
+import type {SubmissionRecord} from './submission_record.js';
+import {TaskState} from './task_state.js';
+
+/** One step of one occurrence of a submission. */
+export class StepState {
+  readonly tasks: TaskState[] = [];
+  readonly advice = StepAdvice.create();
+  doneCount = 0;
+  /** Attempt number shared by the members of a gang. */
+  gangAttempt = 0;
+  /** Failed runs of a gang as a whole. */
+  gangFailures = 0;
+
+  private constructor(
+    readonly submission: SubmissionRecord,
+    readonly occurrence: number,
+    readonly index: number,
+    readonly specification: StepSpecification,
+    readonly name: string,
+  ) {}
+
+  static create(
+    submission: SubmissionRecord,
+    occurrence: number,
+    index: number,
+    specification: StepSpecification,
+  ): StepState {
+    const name = `${submission.id}.${occurrence}.${index}`;
+    const step = new StepState(
+      submission,
+      occurrence,
+      index,
+      specification,
+      name,
+    );
+    for (let task = 0; task < specification.taskCount; task++) {
+      step.tasks.push(TaskState.create(`${name}.${task}`, task));
+    }
+    return step;
+  }
+
+  get isDone(): boolean {
+    return this.doneCount === this.tasks.length;
+  }
+
+  /** Number of tasks placed on the given worker. */
+  countOn(workerId: string): number {
+    let count = 0;
+    for (const task of this.tasks) {
+      if (task.run?.workerId === workerId) count++;
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/submission_record.ts
@@ -0,0 +1,69 @@
+import type {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
+import {StepState} from './step_state.js';
+
+/** One accepted submission and the progress of its steps. */
+export class SubmissionRecord {
+  /** Steps by occurrence; an occurrence is created when it is due. */
+  readonly occurrences: StepState[][] = [];
+  ending: 'failed' | 'cancelled' | undefined;
+  /** Wall-clock time of the ending or completion, in Unix milliseconds. */
+  endedAtUnixMilliseconds: number | undefined;
+  hasStarted = false;
+  /** True once the record is durable and the submission may be run. */
+  isAccepted = false;
+  /** True once the completion of all tasks is durable. */
+  isCompletionDurable = false;
+
+  private constructor(
+    readonly id: string,
+    readonly queue: Queue,
+    readonly specification: SubmissionSpecification,
+    readonly acceptedAtUnixMilliseconds: number,
+  ) {}
+
+  static create(
+    id: string,
+    queue: Queue,
+    specification: SubmissionSpecification,
+    acceptedAtUnixMilliseconds: number,
+  ): SubmissionRecord {
+    return new SubmissionRecord(
+      id,
+      queue,
+      specification,
+      acceptedAtUnixMilliseconds,
+    );
+  }
+
+  get occurrenceCount(): number {
+    return Math.max(1, this.specification.occurrenceCount);
+  }
+
+  /** Due time of an occurrence in Unix milliseconds; 0 when untimed. */
+  dueAt(occurrence: number): number {
+    const {specification} = this;
+    if (specification.occurrenceCount === 0) return 0;
+    return (
+      specification.firstOccurrenceAtUnixMilliseconds +
+      occurrence * specification.occurrenceIntervalMilliseconds
+    );
+  }
+
+  /** The steps of an occurrence, created on first use. */
+  stepsOf(occurrence: number): StepState[] {
+    for (let next = this.occurrences.length; next <= occurrence; next++) {
+      const steps = this.specification.steps.map((step, index) =>
+        StepState.create(this, next, index, step),
+      );
+      this.occurrences.push(steps);
+    }
+    return this.occurrences[occurrence] ?? [];
+  }
+
+  get areAllTasksDone(): boolean {
+    return (
+      this.occurrences.length === this.occurrenceCount &&
+      this.occurrences.every(steps => steps.every(step => step.isDone))
+    );
+  }
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -0,0 +1,114 @@
+import type {StepState} from './step_state.js';
+import type {TaskState} from './task_state.js';
+import type {WorkerState} from './worker_state.js';
+
+/** Cost of each fill task beside a serving task, in free millicores. */
+const INTERFERENCE_COST_MILLICORES = 40_000;
+
+/** Cost of a rack other than the one that is wanted, in free millicores. */
+const FAR_RACK_COST_MILLICORES = 100_000;
+
+/** Chooses a worker for a task among those that may run it. */
+export class WorkerChoice {
+  private constructor() {}
+
+  static create(): WorkerChoice {
+    return new WorkerChoice();
+  }
+
+  /** True when the worker has room and no rule of the step forbids it. */
+  isAllowed(
+    step: StepState,
+    task: TaskState,
+    worker: WorkerState,
+    now: number,
+  ): boolean {
+    const {specification} = step;
+    if (!worker.isUsable || worker.avoidUntil > now) return false;
+    if (worker.description.state !== 'ready') return false;
+    if (worker.description.service !== step.submission.queue.service) {
+      return false;
+    }
+    if (!this.hasLabel(step, worker)) return false;
+    if (worker.runs.has(task.name)) return false;
+    if (!this.hasRoom(step, worker)) return false;
+    const {maximumPerWorker} = specification;
+    return maximumPerWorker === 0 || step.countOn(worker.id) < maximumPerWorker;
+  }
+
+  hasLabel(step: StepState, worker: WorkerState): boolean {
+    const {requiredLabel} = step.specification;
+    return (
+      requiredLabel === '' || worker.description.labels.includes(requiredLabel)
+    );
+  }
+
+  hasRoom(step: StepState, worker: WorkerState): boolean {
+    const {specification} = step;
+    const milliCores = specification.usesSpareCapacity
+      ? 0
+      : specification.milliCores;
+    return (
+      worker.freeMilliCores >= milliCores &&
+      worker.freeMemoryMegabytes >= specification.memoryMegabytes &&
+      worker.freeAccelerators >= specification.accelerators
+    );
+  }
+
+  /** The best of the allowed workers; undefined when there is none. */
+  choose(
+    step: StepState,
+    task: TaskState,
+    allowed: WorkerState[],
+    preferredRack: string,
+  ): WorkerState | undefined {
+    let best: WorkerState | undefined;
+    let bestCost = Infinity;
+    for (const worker of allowed) {
+      const cost = this.cost(step, task, worker, preferredRack);
+      if (cost < bestCost) {
+        best = worker;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  private cost(
+    step: StepState,
+    task: TaskState,
+    worker: WorkerState,
+    preferredRack: string,
+  ): number {
+    const {specification} = step;
+    const rack = specification.dataRack || preferredRack;
+    let cost = 0;
+    if (rack !== '' && worker.rack !== rack) cost += FAR_RACK_COST_MILLICORES;
+    if (task.lastFailedWorkerId === worker.id) cost += FAR_RACK_COST_MILLICORES;
+    const spreads = specification.usesSpareCapacity || specification.isService;
+    cost += spreads ? -worker.freeMilliCores : worker.freeMilliCores;
+    if (specification.usesSpareCapacity) {
+      cost += INTERFERENCE_COST_MILLICORES * countServing(worker);
+    }
+    if (specification.tailTargetMilliseconds > 0) {
+      cost += INTERFERENCE_COST_MILLICORES * countFilling(worker);
+    }
+    return cost;
+  }
+}
+
+function countServing(worker: WorkerState): number {
+  let count = 0;
+  for (const run of worker.runs.values()) {
+    if (run.step.specification.tailTargetMilliseconds > 0) count++;
+  }
+  return count;
+}
+
+function countFilling(worker: WorkerState): number {
+  let count = 0;
+  for (const run of worker.runs.values()) {
+    if (run.step.specification.usesSpareCapacity) count++;
+  }
+  return count;
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/worker_state.ts
@@ -0,0 +1,59 @@
+import type {WorkerDescription} from '@cardamomfield/cell-model';
+import type {Run} from './run.js';
+
+/** One life of a worker and the runs that hold its capacity. */
+export class WorkerState {
+  /** Runs by task name; one task has at most one run on a worker. */
+  readonly runs = new Map<string, Run>();
+  usedMilliCores = 0;
+  usedMemoryMegabytes = 0;
+  usedAccelerators = 0;
+  /** True while the worker answers and its runs are all known. */
+  isUsable = false;
+  /** Monotonic deadline until which the worker gets no new runs. */
+  avoidUntil = 0;
+
+  private constructor(public description: WorkerDescription) {}
+
+  static create(description: WorkerDescription): WorkerState {
+    return new WorkerState(description);
+  }
+
+  get id(): string {
+    return this.description.id;
+  }
+
+  get rack(): string {
+    return this.description.labels.find(label => RACK.test(label)) ?? '';
+  }
+
+  add(run: Run): void {
+    this.runs.set(run.task.name, run);
+    this.usedMilliCores += run.milliCores;
+    this.usedMemoryMegabytes += run.memoryMegabytes;
+    this.usedAccelerators += run.accelerators;
+  }
+
+  remove(run: Run): void {
+    if (this.runs.get(run.task.name) !== run) return;
+    this.runs.delete(run.task.name);
+    this.usedMilliCores -= run.milliCores;
+    this.usedMemoryMegabytes -= run.memoryMegabytes;
+    this.usedAccelerators -= run.accelerators;
+  }
+
+  get freeMilliCores(): number {
+    return this.description.milliCores - this.usedMilliCores;
+  }
+
+  get freeMemoryMegabytes(): number {
+    return this.description.memoryMegabytes - this.usedMemoryMegabytes;
+  }
+
+  get freeAccelerators(): number {
+    return this.description.accelerators - this.usedAccelerators;
+  }
+}
+
+/** Rack labels look like `r1-3`. */
+const RACK = /^r\d+-\d+$/;
--- /dev/null
+++ b/packages/shard-owner/src/claim_shard.ts
@@ -0,0 +1,99 @@
+import {OwnerRecord, type ShardLog} from '@cardamomfield/cell-model';
+import type {Clock} from '@cardamomfield/clock';
+import {
+  ConflictError,
+  type TypedError,
+  UncertainError,
+} from '@cardamomfield/errors';
+import {type Either, Left, Right} from 'purify-ts';
+import type {ShardClaim} from './shard_claim.js';
+
+/** Key of the record that names the shard's owner. */
+const OWNER_KEY = 'o';
+
+/** Tries for an append whose answer was lost; repeats have no further effect. */
+const CLAIM_TRIES = 3;
+
+/** Sequence numbers of rival claims differ, so that one of them is refused. */
+const SEQUENCE_RANGE = 2 ** 40;
+
+interface ClaimShardOptions {
+  log: ShardLog;
+  clock: Clock;
+  /** The claimant, with the highest epoch it has heard of. */
+  claimant: OwnerRecord;
+  random: () => number;
+}
+
+/**
+ * Raises the shard's epoch and reads all that was recorded before. From then
+ * on appends of earlier owners are refused.
+ */
+export async function claimShard(
+  options: ClaimShardOptions,
+): Promise<Either<TypedError, ShardClaim>> {
+  const {log, clock} = options;
+  const known = await log.readNewest();
+  if (known.isLeft()) return known as Either<TypedError, never>;
+  const newestEpoch = Math.max(
+    options.claimant.epoch,
+    readOwner(toMap(known.unsafeCoerce()))?.epoch ?? 0,
+  );
+  const claim = {...options.claimant, epoch: newestEpoch + 1};
+  const sequence = Math.floor(options.random() * SEQUENCE_RANGE);
+  const record = {key: OWNER_KEY, value: JSON.stringify(claim)};
+  const sentAt = clock.monotonicNow();
+  const appended = await appendClaim(log, record, claim.epoch, sequence);
+  if (appended.isLeft()) return appended as Either<TypedError, never>;
+  const read = await log.readNewest();
+  if (read.isLeft()) return read as Either<TypedError, never>;
+  const records = toMap(read.unsafeCoerce());
+  const owner = readOwner(records);
+  if (owner?.incarnation !== claim.incarnation || owner.epoch !== claim.epoch) {
+    return Left(
+      ConflictError.create('another host claimed the shard', {owner}),
+    );
+  }
+  return Right({
+    owner: claim,
+    nextSequence: sequence + 1,
+    provedAt: sentAt,
+    records,
+  });
+}
+
+async function appendClaim(
+  log: ShardLog,
+  record: {key: string; value: string},
+  epoch: number,
+  sequence: number,
+): Promise<Either<TypedError, void>> {
+  let result: Either<TypedError, void> = Left(
+    UncertainError.create('the claim was not sent'),
+  );
+  for (let attempt = 0; attempt < CLAIM_TRIES; attempt++) {
+    result = await log.append([record], epoch, sequence);
+    if (result.isRight()) return result;
+    if (result.extract() instanceof ConflictError) return result;
+  }
+  return result;
+}
+
+function toMap(
+  records: Array<{key: string; value: string}>,
+): Map<string, string> {
+  const map = new Map<string, string>();
+  for (const {key, value} of records) {
+    if (value === '') map.delete(key);
+    else map.set(key, value);
+  }
+  return map;
+}
+
+function readOwner(
+  records: ReadonlyMap<string, string>,
+): OwnerRecord | undefined {
+  const value = records.get(OWNER_KEY);
+  if (value === undefined) return undefined;
+  return OwnerRecord.parse(JSON.parse(value));
+}
--- /dev/null
+++ b/packages/shard-owner/src/run_book.ts
@@ -0,0 +1,247 @@
+import {
+  RecordCodec,
+  type Placement,
+  type Run,
+  type ShardState,
+  type StepState,
+  type SubmissionRecord,
+  type TaskState,
+} from '@cardamomfield/cell-scheduler';
+import type {RunEnd} from '@cardamomfield/cell-model';
+import type {Clock} from '@cardamomfield/clock';
+import type {Logger} from '@cardamomfield/logger';
+import type {ShardJournal} from './shard_journal.js';
+
+/** Pause before a task that failed or was refused is placed again. */
+const RETRY_PAUSE_MILLISECONDS = 30;
+
+/** Failed runs on a worker, in a row, after which it is avoided. */
+const FAILURES_BEFORE_AVOIDING = 3;
+
+/** How long a worker that fails its runs gets no new ones. */
+const AVOID_MILLISECONDS = 3_000;
+
+interface RunBookOptions {
+  state: ShardState;
+  journal: ShardJournal;
+  clock: Clock;
+  logger: Logger;
+  /** Called for a run that must be stopped on its worker. */
+  onStop: (run: Run) => void;
+  /** Called when capacity or waiting tasks changed. */
+  onChange: () => void;
+}
+
+/** Books the beginning and the end of runs and what follows for their tasks. */
+export class RunBook {
+  private readonly failuresInARow = new Map<string, number>();
+
+  private constructor(private readonly options: RunBookOptions) {}
+
+  static create(options: RunBookOptions): RunBook {
+    return new RunBook(options);
+  }
+
+  /** Takes the worker's capacity and marks the intent for the journal. */
+  begin(placement: Placement): Run {
+    const {step, task, worker} = placement;
+    const now = this.options.clock.monotonicNow();
+    task.attempt = this.nextAttempt(step, task);
+    const run = createRun(step, task, worker.id, placement.ticket, now);
+    task.phase = 'placed';
+    task.run = run;
+    task.workerId = worker.id;
+    task.workerBornAt = worker.description.bornAtUnixMilliseconds;
+    worker.add(run);
+    this.markStep(step);
+    return run;
+  }
+
+  /** Books an end that the worker listed. */
+  end(run: Run, end: RunEnd): void {
+    const {step, task} = run;
+    const isCurrent = task.run === run;
+    this.release(run);
+    if (!isCurrent) return;
+    this.options.logger.info('run ended', {
+      task: task.name,
+      attempt: run.attempt,
+      worker: run.workerId,
+      kind: end.kind,
+    });
+    if (end.checkpoint !== '') setCheckpoint(step, task, end.checkpoint);
+    if (task.phase === 'done') return;
+    this.countFailure(run, end);
+    if (end.kind === 'done' && !step.specification.isService) {
+      this.markDone(step, task);
+    } else {
+      this.requeue(task, RETRY_PAUSE_MILLISECONDS);
+    }
+    this.markStep(step);
+    this.checkSubmission(step);
+  }
+
+  /** Books that a run does not exist and never will; its task waits again. */
+  vanish(run: Run, reason: string, pauseMilliseconds = 0): void {
+    const {step, task} = run;
+    const isCurrent = task.run === run;
+    this.release(run);
+    if (!isCurrent || task.phase === 'done') return;
+    this.options.logger.info('run gone', {
+      task: task.name,
+      attempt: run.attempt,
+      worker: run.workerId,
+      reason,
+    });
+    this.requeue(task, pauseMilliseconds);
+    this.markStep(step);
+    if (step.specification.isGang) this.stopRuns(step);
+  }
+
+  /** Stops every run of a step. */
+  stopRuns(step: StepState): void {
+    for (const member of step.tasks) {
+      if (member.run && member.run.phase !== 'stopping') {
+        this.options.onStop(member.run);
+      }
+    }
+  }
+
+  /** Ends a submission and stops its runs. */
+  endSubmission(
+    submission: SubmissionRecord,
+    ending: 'failed' | 'cancelled',
+  ): void {
+    submission.ending = ending;
+    this.options.state.close(submission, this.options.clock.wallNow());
+    this.options.journal.mark(RecordCodec.endingKey(submission.id));
+    this.options.logger.info('submission ended', {
+      submission: submission.id,
+      ending,
+    });
+    for (const step of submission.occurrences.flat()) this.stopRuns(step);
+  }
+
+  /** Books a run that an earlier owner placed; its worker decides its fate. */
+  adopt(step: StepState, task: TaskState): Run {
+    const run = createRun(step, task, task.workerId, '', -Infinity);
+    run.phase = 'running';
+    run.runningSince = -Infinity;
+    task.run = run;
+    return run;
+  }
+
+  markStep(step: StepState): void {
+    this.options.journal.mark(RecordCodec.progressKey(step));
+    this.options.onChange();
+  }
+
+  private nextAttempt(step: StepState, task: TaskState): number {
+    if (!step.specification.isGang) return task.attempt + 1;
+    // Members are placed together: the first one raises the shared number.
+    const highest = Math.max(...step.tasks.map(member => member.attempt));
+    const hasPlaced = step.tasks.some(member => member.run);
+    step.gangAttempt = hasPlaced ? step.gangAttempt : highest + 1;
+    return step.gangAttempt;
+  }
+
+  private release(run: Run): void {
+    this.options.state.workers.get(run.workerId)?.remove(run);
+    if (run.task.run === run) run.task.run = undefined;
+    run.phase = 'gone';
+    this.options.onChange();
+  }
+
+  private requeue(task: TaskState, pauseMilliseconds: number): void {
+    task.phase = 'waiting';
+    task.workerId = '';
+    task.workerBornAt = 0;
+    task.notBefore = this.options.clock.monotonicNow() + pauseMilliseconds;
+  }
+
+  private markDone(step: StepState, task: TaskState): void {
+    // The end of one member stands for the whole gang.
+    const done = step.specification.isGang ? step.tasks : [task];
+    for (const member of done) member.phase = 'done';
+    step.doneCount = step.tasks.filter(each => each.phase === 'done').length;
+  }
+
+  private countFailure(run: Run, end: RunEnd): void {
+    const {workerId, step, task} = run;
+    if (end.kind === 'done') this.failuresInARow.delete(workerId);
+    if (end.kind !== 'failed') return;
+    task.lastFailedWorkerId = workerId;
+    if (!step.specification.isService) task.failures++;
+    if (step.specification.isGang) step.gangFailures++;
+    const failures = (this.failuresInARow.get(workerId) ?? 0) + 1;
+    this.failuresInARow.set(workerId, failures);
+    const worker = this.options.state.workers.get(workerId);
+    if (failures < FAILURES_BEFORE_AVOIDING || !worker) return;
+    worker.avoidUntil = this.options.clock.monotonicNow() + AVOID_MILLISECONDS;
+    this.options.logger.warn('worker avoided', {worker: workerId, failures});
+  }
+
+  private checkSubmission(step: StepState): void {
+    const {submission} = step;
+    if (submission.ending) return;
+    const failures = Math.max(
+      step.gangFailures,
+      ...step.tasks.map(task => task.failures),
+    );
+    if (
+      !step.specification.isService &&
+      failures >= submission.queue.maximumAttempts
+    ) {
+      this.endSubmission(submission, 'failed');
+      return;
+    }
+    if (submission.areAllTasksDone) void this.complete(submission);
+  }
+
+  private async complete(submission: SubmissionRecord): Promise<void> {
+    this.options.state.close(submission, this.options.clock.wallNow());
+    const committed = await this.options.journal.commit();
+    if (committed.isLeft()) return;
+    submission.isCompletionDurable = true;
+    this.options.logger.info('submission completed', {
+      submission: submission.id,
+    });
+  }
+}
+
+function createRun(
+  step: StepState,
+  task: TaskState,
+  workerId: string,
+  ticket: string,
+  now: number,
+): Run {
+  const {specification} = step;
+  return {
+    step,
+    task,
+    attempt: task.attempt,
+    workerId,
+    phase: 'recording',
+    milliCores: specification.usesSpareCapacity ? 0 : specification.milliCores,
+    memoryMegabytes: specification.memoryMegabytes,
+    accelerators: specification.accelerators,
+    ticket,
+    placedAt: now,
+    runningSince: undefined,
+    progressPercent: 0,
+    progressedAt: now,
+    load: 0,
+    pacePercent: 100,
+  };
+}
+
+function setCheckpoint(
+  step: StepState,
+  task: TaskState,
+  checkpoint: string,
+): void {
+  // Members of a gang must all carry the same checkpoint.
+  const owners = step.specification.isGang ? step.tasks : [task];
+  for (const member of owners) member.checkpoint = checkpoint;
+}
--- /dev/null
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -0,0 +1,259 @@
+import type {ShardLog, ShardRecord} from '@cardamomfield/cell-model';
+import {type Clock, Notifier} from '@cardamomfield/clock';
+import {
+  CancelledError,
+  ConflictError,
+  type TypedError,
+} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {type Either, Left, Right} from 'purify-ts';
+
+/**
+ * How long one proof of the epoch allows orders that extend or add work. A new
+ * owner waits for this span plus the longest lease before it takes over tasks
+ * of a worker that it cannot reach.
+ */
+const PROOF_VALID_MILLISECONDS = 3_000;
+
+/** An idle journal proves its epoch this often; a third of the proof's span. */
+const IDLE_PROOF_MILLISECONDS = 1_000;
+
+/** Pause after a failed append; short against the proof's span. */
+const RETRY_PAUSE_MILLISECONDS = 60;
+
+/** Wall and monotonic clock may part by this much before a freeze is assumed. */
+const MAXIMUM_DRIFT_MILLISECONDS = 60;
+
+/** Most bytes of one append; half of what the log takes in one call. */
+const MAXIMUM_BATCH_BYTES = 1_000_000;
+
+/** Without a successful append for this long the log counts as down. */
+const LOG_DOWN_MILLISECONDS = 600;
+
+interface Waiter {
+  batch: number;
+  resolve: (result: Either<TypedError, void>) => void;
+}
+
+interface ShardJournalOptions {
+  log: ShardLog;
+  clock: Clock;
+  logger: Logger;
+  epoch: number;
+  /** Sequence number of the next append. */
+  nextSequence: number;
+  /** Monotonic time at which the claim was sent. */
+  provedAt: number;
+  /** The present value of a key; empty removes it. */
+  encode: (key: string) => string;
+  onLost: () => void;
+}
+
+/**
+ * Writes the newest values of changed keys to the shard's log, one append at a
+ * time; what changes meanwhile goes into the next append. Successful appends
+ * prove that no other owner has a higher epoch.
+ */
+export class ShardJournal {
+  private changed = new Set<string>();
+  private waiters: Waiter[] = [];
+  /** Number of the batch that changes marked now will be part of. */
+  private openBatch = 1;
+  private provedAt: number;
+  private failingSince: number | undefined;
+  private clockDifference: number;
+  private isStopped = false;
+  private readonly wakeUp: Notifier;
+  private nextSequence: number;
+
+  private constructor(private readonly options: ShardJournalOptions) {
+    this.provedAt = options.provedAt;
+    this.nextSequence = options.nextSequence;
+    this.wakeUp = Notifier.create(options.clock);
+    this.clockDifference = this.readClockDifference();
+  }
+
+  static create(options: ShardJournalOptions): ShardJournal {
+    return new ShardJournal(options);
+  }
+
+  get epoch(): number {
+    return this.options.epoch;
+  }
+
+  /** Marks a key whose value changed. */
+  mark(key: string): void {
+    this.changed.add(key);
+    this.wakeUp.notify();
+  }
+
+  /** Resolves once everything marked so far is durable. */
+  commit(): Promise<Either<TypedError, void>> {
+    if (this.isStopped) return Promise.resolve(Left(lostError()));
+    const batch = this.changed.size > 0 ? this.openBatch : this.openBatch - 1;
+    return new Promise(resolve => {
+      this.waiters.push({batch, resolve});
+      this.wakeUp.notify();
+    });
+  }
+
+  /** True while the last proof of the epoch is recent enough for orders. */
+  hasAuthority(): boolean {
+    this.checkForFreeze();
+    const age = this.options.clock.monotonicNow() - this.provedAt;
+    return !this.isStopped && age < PROOF_VALID_MILLISECONDS;
+  }
+
+  /** True while appends have failed for so long that new work is refused. */
+  isLogDown(): boolean {
+    const since = this.failingSince;
+    if (since === undefined) return false;
+    return this.options.clock.monotonicNow() - since > LOG_DOWN_MILLISECONDS;
+  }
+
+  /** True from the first failed append until one succeeds again. */
+  isLogFailing(): boolean {
+    return this.failingSince !== undefined;
+  }
+
+  static get proofValidMilliseconds(): number {
+    return PROOF_VALID_MILLISECONDS;
+  }
+
+  /** Appends until stopped; one append is in flight at a time. */
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      if (this.changed.size === 0) {
+        this.resolveWaiters(this.openBatch - 1, Right(undefined));
+        await this.proveWhenIdle();
+      } else {
+        await this.appendChanges();
+      }
+    }
+  }
+
+  stop(): void {
+    if (this.isStopped) return;
+    this.isStopped = true;
+    this.resolveWaiters(Infinity, Left(lostError()));
+    this.wakeUp.notify();
+  }
+
+  private async proveWhenIdle(): Promise<void> {
+    const {clock, log} = this.options;
+    const dueAt = this.provedAt + IDLE_PROOF_MILLISECONDS;
+    await this.wakeUp.wait(dueAt);
+    if (this.isStopped || this.changed.size > 0) return;
+    const sentAt = clock.monotonicNow();
+    if (sentAt < dueAt) return;
+    const result = await log.confirmEpoch(this.options.epoch);
+    await this.settle(result, sentAt);
+  }
+
+  private async appendChanges(): Promise<void> {
+    const batch = this.openBatch;
+    const chunks = this.takeChunks();
+    this.openBatch++;
+    for (const records of chunks) {
+      await this.appendChunk(records);
+      if (this.isStopped) return;
+    }
+    this.resolveWaiters(batch, Right(undefined));
+  }
+
+  private async appendChunk(records: ShardRecord[]): Promise<void> {
+    while (!this.isStopped) {
+      const sentAt = this.options.clock.monotonicNow();
+      const result = await this.options.log.append(
+        records,
+        this.options.epoch,
+        this.nextSequence,
+      );
+      if (await this.settle(result, sentAt)) break;
+    }
+    this.nextSequence++;
+  }
+
+  /** All changed records, split so that each part fits one append. */
+  private takeChunks(): ShardRecord[][] {
+    const chunks: ShardRecord[][] = [[]];
+    let bytes = 0;
+    for (const key of this.changed) {
+      const value = this.options.encode(key);
+      if (bytes > 0 && bytes + value.length > MAXIMUM_BATCH_BYTES) {
+        chunks.push([]);
+        bytes = 0;
+      }
+      bytes += value.length + key.length;
+      chunks.at(-1)?.push({key, value});
+    }
+    this.changed.clear();
+    return chunks;
+  }
+
+  /** Books the outcome of a call; false asks for another try. */
+  private async settle(
+    result: Either<TypedError, void>,
+    sentAt: number,
+  ): Promise<boolean> {
+    const {clock, logger} = this.options;
+    if (result.isRight()) {
+      this.provedAt = Math.max(this.provedAt, sentAt);
+      this.clockDifference = this.readClockDifference();
+      if (this.failingSince !== undefined) {
+        const milliseconds = Math.round(
+          clock.monotonicNow() - this.failingSince,
+        );
+        logger.info('shard log regained', {epoch: this.epoch, milliseconds});
+      }
+      this.failingSince = undefined;
+      return true;
+    }
+    const error = result.extract() as TypedError;
+    if (error instanceof ConflictError) {
+      logger.warn('shard lost to another owner', {
+        epoch: this.epoch,
+        cause: error.message,
+      });
+      this.stop();
+      this.options.onLost();
+      return false;
+    }
+    if (this.failingSince === undefined) {
+      this.failingSince = clock.monotonicNow();
+      logger.warn('shard log lost', {epoch: this.epoch, cause: error.message});
+    }
+    await clock.sleepUntil(clock.monotonicNow() + RETRY_PAUSE_MILLISECONDS);
+    return false;
+  }
+
+  private resolveWaiters(upTo: number, result: Either<TypedError, void>): void {
+    const ready = this.waiters.filter(waiter => waiter.batch <= upTo);
+    if (ready.length === 0) return;
+    this.waiters = this.waiters.filter(waiter => waiter.batch > upTo);
+    for (const waiter of ready) waiter.resolve(result);
+  }
+
+  /** The monotonic clock does not count a freeze of the process. */
+  private checkForFreeze(): void {
+    const difference = this.readClockDifference();
+    const drift = Math.abs(difference - this.clockDifference);
+    if (drift <= MAXIMUM_DRIFT_MILLISECONDS) return;
+    this.clockDifference = difference;
+    this.provedAt = -Infinity;
+    this.wakeUp.notify();
+    this.options.logger.warn('clocks parted; epoch must be proved again', {
+      epoch: this.epoch,
+      driftMilliseconds: Math.round(drift),
+    });
+  }
+
+  private readClockDifference(): number {
+    const {clock} = this.options;
+    return clock.wallNow() - clock.monotonicNow();
+  }
+}
+
+function lostError(): TypedError {
+  return CancelledError.create('this host does not own the shard any more');
+}
--- /dev/null
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -0,0 +1,370 @@
+import type {
+  Queue,
+  ShardLog,
+  SubmissionSpecification,
+  SubmissionState,
+  WorkerDescription,
+  WorkerDirectory,
+  WorkerLinks,
+} from '@cardamomfield/cell-model';
+import {
+  PacingPolicy,
+  PriorityOrder,
+  RecordCodec,
+  type Run,
+  Scheduler,
+  ShardState,
+  SubmissionRecord,
+  WorkerChoice,
+} from '@cardamomfield/cell-scheduler';
+import {type Clock, Notifier} from '@cardamomfield/clock';
+import {
+  NotFoundError,
+  type TypedError,
+  UnavailableError,
+} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {type Either, Left, Right} from 'purify-ts';
+import type {AdviceChannel} from './advice_channel.js';
+import {AdviceDesk} from './advice_desk.js';
+import type {OwnerTiming} from './owner_timing.js';
+import {RunBook} from './run_book.js';
+import type {ShardClaim} from './shard_claim.js';
+import {ShardJournal} from './shard_journal.js';
+import {WorkerSession} from './worker_session.js';
+
+/** The scheduler runs at least this often, for timed work and drains. */
+const TICK_MILLISECONDS = 200;
+
+/** Changes within this span are scheduled together. */
+const COALESCE_MILLISECONDS = 4;
+
+/** Clocks of workers may run this much slower than the owner's. */
+const SLOWEST_WORKER_RATE = 0.98;
+
+/** Added to the time after which an earlier owner's leases are over. */
+const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
+
+interface ShardOwnerOptions {
+  claim: ShardClaim;
+  log: ShardLog;
+  links: WorkerLinks;
+  directory: WorkerDirectory;
+  adviceChannels: () => AdviceChannel[];
+  clock: Clock;
+  logger: Logger;
+  timing: OwnerTiming;
+  onLost: () => void;
+}
+
+/**
+ * The owner of one shard: accepts submissions, decides where tasks run, and
+ * orders workers. It stops as soon as another host has a higher epoch.
+ */
+export class ShardOwner {
+  private readonly state = ShardState.create();
+  private readonly journal: ShardJournal;
+  private readonly book: RunBook;
+  private readonly scheduler: Scheduler;
+  private readonly desk: AdviceDesk;
+  private readonly sessions = new Map<string, WorkerSession>();
+  /** Runs of workers that the directory does not list yet, by worker. */
+  private readonly stranded = new Map<string, Run[]>();
+  private readonly wakeUp: Notifier;
+  private readonly stopping = new AbortController();
+  private readonly earlierLeasesEndAt: number;
+  private hasChanged = true;
+
+  private constructor(private readonly options: ShardOwnerOptions) {
+    const {claim, clock, logger} = options;
+    this.wakeUp = Notifier.create(clock);
+    this.journal = ShardJournal.create({
+      log: options.log,
+      clock,
+      logger,
+      epoch: claim.owner.epoch,
+      nextSequence: claim.nextSequence,
+      provedAt: claim.provedAt,
+      encode: key => this.encode(key),
+      onLost: () => this.lose(),
+    });
+    const onChange = () => this.noteChange();
+    this.book = RunBook.create({
+      state: this.state,
+      journal: this.journal,
+      clock,
+      logger,
+      onStop: run => this.stopRun(run),
+      onChange,
+    });
+    this.scheduler = Scheduler.create(
+      this.state,
+      PriorityOrder.create(),
+      WorkerChoice.create(),
+    );
+    this.desk = AdviceDesk.create({
+      channels: options.adviceChannels,
+      workers: this.state.workers,
+      clock,
+      logger,
+      onChange,
+    });
+    this.earlierLeasesEndAt = leasesEndAt(options);
+    this.restore();
+  }
+
+  static create(options: ShardOwnerOptions): ShardOwner {
+    return new ShardOwner(options);
+  }
+
+  get epoch(): number {
+    return this.options.claim.owner.epoch;
+  }
+
+  /** True while the shard's log takes no appends. */
+  isLogDown(): boolean {
+    return this.journal.isLogDown();
+  }
+
+  /** Runs until the shard is lost or `stop` is called. */
+  async run(): Promise<void> {
+    await Promise.all([
+      this.journal.run(),
+      this.followWorkers(),
+      this.scheduleLoop(),
+    ]);
+  }
+
+  stop(): void {
+    if (this.stopping.signal.aborted) return;
+    this.stopping.abort();
+    this.journal.stop();
+    for (const session of this.sessions.values()) session.stop();
+    this.wakeUp.notify();
+  }
+
+  /**
+   * Accepts a submission once it is durable; the same ID again is the same
+   * submission. `UnavailableError` means it was not recorded and never runs;
+   * `CancelledError` that the shard was lost while it was being recorded.
+   */
+  async submit(
+    id: string,
+    queue: Queue,
+    specification: SubmissionSpecification,
+  ): Promise<Either<TypedError, void>> {
+    const known = this.state.submissions.get(id);
+    if (known?.isAccepted) return Right(undefined);
+    if (known) return this.journal.commit();
+    if (this.journal.isLogDown()) {
+      return Left(UnavailableError.create('the shard log takes no appends'));
+    }
+    const now = this.options.clock.wallNow();
+    const submission = SubmissionRecord.create(id, queue, specification, now);
+    this.state.add(submission);
+    this.journal.mark(RecordCodec.submissionKey(id));
+    const committed = await this.journal.commit();
+    if (committed.isLeft()) return committed;
+    submission.isAccepted = true;
+    this.options.logger.info('submission accepted', {
+      submission: id,
+      queue: queue.name,
+      steps: specification.steps.map(step => step.taskCount),
+    });
+    this.noteChange();
+    return committed;
+  }
+
+  /** The state of a submission, or `NotFoundError`. */
+  show(id: string): Either<TypedError, SubmissionState> {
+    const submission = this.state.submissions.get(id);
+    if (!submission?.isAccepted) return Left(unknownSubmission(id));
+    return Right(this.state.describe(submission));
+  }
+
+  /** Cancels a submission for good, or `NotFoundError`. */
+  async cancel(id: string): Promise<Either<TypedError, void>> {
+    const submission = this.state.submissions.get(id);
+    if (!submission) return Left(unknownSubmission(id));
+    if (!submission.ending && !submission.areAllTasksDone) {
+      this.book.endSubmission(submission, 'cancelled');
+    }
+    return this.journal.commit();
+  }
+
+  countPending(queueName: string): number {
+    return this.state.countPending(queueName);
+  }
+
+  private noteChange(): void {
+    this.hasChanged = true;
+    this.wakeUp.notify();
+  }
+
+  private lose(): void {
+    this.stop();
+    this.options.onLost();
+  }
+
+  private async followWorkers(): Promise<void> {
+    await this.options.directory.follow(
+      (id, worker) => this.takeWorker(id, worker),
+      this.stopping.signal,
+    );
+  }
+
+  private takeWorker(id: string, worker: WorkerDescription | undefined): void {
+    if (this.stopping.signal.aborted) return;
+    const session = this.sessions.get(id);
+    if (!worker) {
+      session?.leave();
+      return;
+    }
+    if (session) {
+      session.describe(worker);
+      return;
+    }
+    const {links, clock, logger, timing} = this.options;
+    const opened = WorkerSession.create({
+      description: worker,
+      links,
+      journal: this.journal,
+      book: this.book,
+      clock,
+      logger,
+      timing,
+      pacing: PacingPolicy.create(),
+      earlierLeasesEndAt: this.earlierLeasesEndAt,
+      onChange: () => this.noteChange(),
+    });
+    this.sessions.set(id, opened);
+    this.state.workers.set(id, opened.worker);
+    for (const run of this.stranded.get(id) ?? []) opened.worker.add(run);
+    this.stranded.delete(id);
+    void opened.run();
+  }
+
+  private async scheduleLoop(): Promise<void> {
+    const {clock} = this.options;
+    while (!this.stopping.signal.aborted) {
+      if (!this.hasChanged) {
+        await this.wakeUp.wait(clock.monotonicNow() + TICK_MILLISECONDS);
+      }
+      await clock.sleepUntil(clock.monotonicNow() + COALESCE_MILLISECONDS);
+      if (this.stopping.signal.aborted) return;
+      this.hasChanged = false;
+      this.tick();
+      this.schedule();
+    }
+  }
+
+  private tick(): void {
+    const {clock} = this.options;
+    const now = clock.monotonicNow();
+    for (const [id, session] of this.sessions) {
+      session.evacuate(now);
+      if (session.worker.description.state === 'draining' && session.isOver) {
+        session.stop();
+        this.sessions.delete(id);
+        this.state.workers.delete(id);
+      }
+    }
+    if (now > this.earlierLeasesEndAt) this.giveUpStranded();
+    this.forgetEnded(clock.wallNow());
+  }
+
+  private giveUpStranded(): void {
+    for (const run of [...this.stranded.values()].flat()) {
+      this.book.vanish(run, 'lease lapsed');
+    }
+    this.stranded.clear();
+  }
+
+  private schedule(): void {
+    if (!this.journal.hasAuthority() || this.journal.isLogDown()) return;
+    const {clock} = this.options;
+    const runs: Run[] = [];
+    const pass = this.scheduler.pass(
+      clock.monotonicNow(),
+      clock.wallNow(),
+      placement => runs.push(this.book.begin(placement)),
+    );
+    this.desk.send(pass.adviceWishes);
+    if (runs.length > 0) void this.startAll(runs);
+  }
+
+  /** Orders runs only after their intents are durable. */
+  private async startAll(runs: Run[]): Promise<void> {
+    const committed = await this.journal.commit();
+    if (committed.isLeft()) return;
+    for (const run of runs) void this.sessions.get(run.workerId)?.start(run);
+  }
+
+  private stopRun(run: Run): void {
+    this.sessions.get(run.workerId)?.stopRun(run);
+  }
+
+  private restore(): void {
+    const {claim, logger} = this.options;
+    const unreadable = this.state.restore(claim.records);
+    for (const key of unreadable) logger.error('record unreadable', {key});
+    let placed = 0;
+    for (const submission of this.state.openSubmissions()) {
+      for (const step of submission.occurrences.flat()) {
+        for (const task of step.tasks) {
+          if (task.phase !== 'placed') continue;
+          const run = this.book.adopt(step, task);
+          const others = this.stranded.get(task.workerId) ?? [];
+          this.stranded.set(task.workerId, [...others, run]);
+          placed++;
+        }
+      }
+    }
+    logger.info('shard restored', {
+      epoch: this.epoch,
+      submissions: this.state.submissions.size,
+      placed,
+    });
+  }
+
+  private forgetEnded(nowUnixMilliseconds: number): void {
+    const {keepEndedMilliseconds} = this.options.timing;
+    for (const submission of this.state.submissions.values()) {
+      const endedAt = submission.endedAtUnixMilliseconds;
+      if (endedAt === undefined) continue;
+      if (nowUnixMilliseconds < endedAt + keepEndedMilliseconds) continue;
+      this.state.remove(submission);
+      this.journal.mark(RecordCodec.submissionKey(submission.id));
+      this.journal.mark(RecordCodec.endingKey(submission.id));
+      for (const step of submission.occurrences.flat()) {
+        this.journal.mark(RecordCodec.progressKey(step));
+      }
+    }
+  }
+
+  private encode(key: string): string {
+    const name = key.slice(2);
+    const [id, occurrence, index] = name.split('.');
+    const submission = this.state.submissions.get(id ?? '');
+    if (!submission) return '';
+    if (key.startsWith('s/')) return RecordCodec.encodeSubmission(submission);
+    if (key.startsWith('e/')) return RecordCodec.encodeEnding(submission);
+    const step = submission.stepsOf(Number(occurrence))[Number(index)];
+    return step ? RecordCodec.encodeProgress(step) : '';
+  }
+}
+
+function leasesEndAt(options: ShardOwnerOptions): number {
+  // The first owner of a cell has no predecessor that granted a lease.
+  if (options.claim.owner.epoch === 1) return 0;
+  return (
+    options.clock.monotonicNow() +
+    ShardJournal.proofValidMilliseconds +
+    options.timing.maximumLeaseMilliseconds / SLOWEST_WORKER_RATE +
+    TAKEOVER_MARGIN_MILLISECONDS
+  );
+}
+
+function unknownSubmission(id: string): TypedError {
+  return NotFoundError.create(`submission ${id} does not exist`);
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,33 @@
+// Bundles the daemon into one file under target/, so that a start loads little.
+import {build} from 'esbuild';
+
+const WORKSPACE = /^@cardamomfield\/([^/]+)$/;
+
+/** Bundles the packages of this repository from their sources. */
+const fromSources = {
+  name: 'from-sources',
+  setup(builder) {
+    builder.onResolve({filter: WORKSPACE}, ({path}) => {
+      const name = path.match(WORKSPACE)[1];
+      return {path: `${process.cwd()}/packages/${name}/src/index.ts`};
+    });
+  },
+};
+
+await build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/cardamomfield.mjs',
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  minify: true,
+  keepNames: true,
+  sourcemap: false,
+  plugins: [fromSources],
+  // CommonJS libraries in the bundle call require for Node's own modules.
+  banner: {
+    js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
+  },
+  logLevel: 'warning',
+});
--- a/scripts/sync_project_references.mjs
+++ b/scripts/sync_project_references.mjs
@@ -7,6 +7,11 @@
 const isCheck = process.argv.includes('--check');
 const stale = [];
 
+/** Path of another package from the given one. */
+function referencePath(folder, name) {
+  return folder === 'platform' ? `../packages/${name}` : `../${name}`;
+}
+
 function write(path, value) {
   const text = JSON.stringify(value, null, 2) + '\n';
   if (existsSync(path) && readFileSync(path, 'utf8') === text) return;
@@ -14,21 +19,24 @@
   if (!isCheck) writeFileSync(path, text);
 }
 
-const folders = readdirSync('packages').filter(folder =>
-  existsSync(`packages/${folder}/package.json`),
-);
+const folders = readdirSync('packages')
+  .filter(folder => existsSync(`packages/${folder}/package.json`))
+  .map(folder => `packages/${folder}`);
+folders.push('platform');
+
 for (const folder of folders) {
-  const manifest = JSON.parse(
-    readFileSync(`packages/${folder}/package.json`, 'utf8'),
-  );
+  const manifest = JSON.parse(readFileSync(`${folder}/package.json`, 'utf8'));
   const references = Object.keys({
     ...manifest.dependencies,
     ...manifest.devDependencies,
   })
     .filter(name => name.startsWith(SCOPE))
-    .map(name => ({path: `../${name.slice(SCOPE.length)}`}));
-  write(`packages/${folder}/tsconfig.json`, {
-    extends: '../../tsconfig.base.json',
+    .map(name => ({path: referencePath(folder, name.slice(SCOPE.length))}));
+  write(`${folder}/tsconfig.json`, {
+    extends:
+      folder === 'platform'
+        ? '../tsconfig.base.json'
+        : '../../tsconfig.base.json',
     compilerOptions: {rootDir: 'src', outDir: 'dist'},
     include: ['src'],
     references,
@@ -36,7 +44,7 @@
 }
 write('tsconfig.json', {
   files: [],
-  references: folders.map(folder => ({path: `packages/${folder}`})),
+  references: folders.map(folder => ({path: folder})),
 });
 
 if (isCheck && stale.length > 0) {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -13,7 +13,7 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
     maxWorkers: MAXIMUM_WORKERS,
     testTimeout: TEST_TIMEOUT_MILLISECONDS,
     hookTimeout: TEST_TIMEOUT_MILLISECONDS,
