--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -1,4 +1,5 @@
-import type {OwnerRecord, ShardLog} from '@cardamomfield/cell-model';
+import {createHash} from 'node:crypto';
+import {OwnerRecord, type ShardLog} from '@cardamomfield/cell-model';
 import type {Clock} from '@cardamomfield/clock';
 import type {TypedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
@@ -9,13 +10,13 @@
 import {PeerMethod} from './peer_method.js';
 
 /** Time between two pings of the owner. */
-const PING_MILLISECONDS = 350;
+const PING_MILLISECONDS = 250;
 
 /** A ping without an answer in this time has failed. */
-const PING_TIMEOUT_MILLISECONDS = 700;
+const PING_TIMEOUT_MILLISECONDS = 600;
 
 /** An owner that has not answered for this long may be replaced. */
-const SILENCE_MILLISECONDS = 1_100;
+const SILENCE_MILLISECONDS = 1_000;
 
 /** A host that heard the owner within this span vouches for it. */
 const VOUCH_MILLISECONDS = 900;
@@ -23,8 +24,14 @@
 /** After a start, hosts first learn of an owner before they claim. */
 const FIRST_CLAIM_MILLISECONDS = 350;
 
-/** Claims are spread over this span, so that one host usually wins. */
-const CLAIM_SPREAD_MILLISECONDS = 350;
+/** Hosts claim one after the other; a claim takes about this long. */
+const CLAIM_TURN_MILLISECONDS = 200;
+
+/** Longest wait of a host for its turn to claim. */
+const LONGEST_TURN_MILLISECONDS = 1_000;
+
+/** Turns are blurred by this much, since hosts may know different peers. */
+const TURN_JITTER_MILLISECONDS = 60;
 
 /** An owner whose log is down for this long is replaced if that works. */
 const OWNER_LOG_DOWN_MILLISECONDS = 2_000;
@@ -96,11 +103,10 @@
     this.isClaiming = false;
     const milliseconds = Math.round(clock.monotonicNow() - startedAt);
     if (result.isLeft()) {
-      logger.warn('claim failed', {
-        reason,
-        cause: (result.extract() as TypedError).message,
-        milliseconds,
-      });
+      const error = result.extract() as TypedError;
+      logger.warn('claim failed', {reason, cause: error.message, milliseconds});
+      const newer = OwnerRecord.safeParse(error.details.owner);
+      if (newer.success) membership.takeOwner(newer.data);
       return;
     }
     const claim = result.unsafeCoerce();
@@ -116,11 +122,19 @@
   private async watchOnce(): Promise<void> {
     const {membership, clock, random} = this.options;
     const {owner} = membership;
-    const isKnownLost = owner ? await this.isLost(owner) : this.isSettled();
-    if (!isKnownLost) return;
-    if (owner && (await this.isHeardByOthers(owner))) return;
+    if (owner) {
+      const signs = await this.look(owner);
+      if (signs === 'alive') return;
+      if (signs === 'silent' && (await this.isHeardByOthers(owner))) return;
+    } else if (!this.isSettled()) {
+      return;
+    }
+    const turn = Math.min(
+      this.rank() * CLAIM_TURN_MILLISECONDS,
+      LONGEST_TURN_MILLISECONDS,
+    );
     await clock.sleepUntil(
-      clock.monotonicNow() + random() * CLAIM_SPREAD_MILLISECONDS,
+      clock.monotonicNow() + turn + random() * TURN_JITTER_MILLISECONDS,
     );
     if (membership.owner !== owner) return;
     await this.claim(
@@ -128,14 +142,31 @@
     );
   }
 
+  /** Place of this host in the order in which hosts claim the next epoch. */
+  private rank(): number {
+    const {membership} = this.options;
+    const epoch = membership.owner?.epoch ?? 0;
+    const hosts = [membership.self, ...membership.answeringPeers()].filter(
+      host => host.incarnation !== membership.owner?.incarnation,
+    );
+    const order = hosts
+      .map(({name}) => ({name, key: orderKey(name, epoch)}))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return order.findIndex(({name}) => name === membership.self.name);
+  }
+
   private isSettled(): boolean {
     const {clock} = this.options;
     return clock.monotonicNow() - this.startedAt > FIRST_CLAIM_MILLISECONDS;
   }
 
-  private async isLost(owner: OwnerRecord): Promise<boolean> {
+  /**
+   * `gone`: the process ended or lost the shard; `silent`: it has not answered
+   * for long, which may be this host's own trouble.
+   */
+  private async look(owner: OwnerRecord): Promise<'alive' | 'silent' | 'gone'> {
     const {membership, peers, clock} = this.options;
-    if (owner.incarnation === membership.self.incarnation) return true;
+    if (owner.incarnation === membership.self.incarnation) return 'gone';
     const result = await peers.call(
       owner.address,
       PeerMethod.ping,
@@ -146,7 +177,12 @@
     const now = clock.monotonicNow();
     if (result.isLeft()) {
       membership.noteSilent(owner.hostName);
-      return now - membership.heardOwnerAt > SILENCE_MILLISECONDS;
+      // A refused connection means that the process is gone.
+      if ((result.extract() as TypedError).details.isRefused === true) {
+        return 'gone';
+      }
+      const silence = now - membership.heardOwnerAt;
+      return silence > SILENCE_MILLISECONDS ? 'silent' : 'alive';
     }
     const answer = result.unsafeCoerce();
     membership.noteAnswer(owner.hostName);
@@ -154,10 +190,10 @@
     if (answer.desiredStateVersion > this.options.desiredStateVersion()) {
       this.options.onNewerDesiredState(owner.address);
     }
-    if (membership.owner !== owner) return false;
-    if (!answer.isOwner) return true;
+    if (membership.owner !== owner) return 'alive';
+    if (!answer.isOwner) return 'gone';
     membership.heardOwnerAt = now;
-    return this.isLogDownTooLong(answer.isLogDown, now);
+    return this.isLogDownTooLong(answer.isLogDown, now) ? 'gone' : 'alive';
   }
 
   private isLogDownTooLong(isLogDown: boolean, now: number): boolean {
@@ -172,7 +208,6 @@
   /** Asks the others whether they hear the owner; one that does is enough. */
   private async isHeardByOthers(owner: OwnerRecord): Promise<boolean> {
     const {membership, peers} = this.options;
-    if (this.ownerLogDownSince !== undefined) return false;
     const others = membership
       .answeringPeers()
       .filter(host => host.name !== owner.hostName);
@@ -199,3 +234,8 @@
     return answers.some(Boolean);
   }
 }
+
+/** Differs by epoch, so that claims do not always fall to the same host. */
+function orderKey(name: string, epoch: number): string {
+  return createHash('sha1').update(`${name}/${epoch}`).digest('hex');
+}
--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -6,9 +6,9 @@
   UnavailableError,
   UncertainError,
 } from '@cardamomfield/errors';
+import {HttpClient} from '@cardamomfield/http-client';
 import {type JSONRPCResponse, JSONRPCClient} from 'json-rpc-2.0';
 import {type Either, Left, Right} from 'purify-ts';
-import {Agent, request} from 'undici';
 import type {z} from 'zod';
 import {NotOwnerError} from './not_owner_error.js';
 
@@ -30,24 +30,16 @@
   cancelled: message => CancelledError.create(message),
 };
 
-/** Errors of connections that were never opened: nothing was sent. */
-const NOT_SENT =
-  /ECONNREFUSED|UND_ERR_CONNECT_TIMEOUT|EHOSTUNREACH|ENETUNREACH/;
-
 /** Calls methods of other hosts by JSON-RPC over HTTP. */
 export class PeerClient {
   private nextId = 1;
 
-  private constructor(private readonly agent: Agent) {}
+  private readonly clients = new Map<string, HttpClient>();
+
+  private constructor() {}
 
   static create(): PeerClient {
-    const agent = new Agent({
-      connections: CONNECTIONS_PER_HOST,
-      pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
-      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-    });
-    return new PeerClient(agent);
+    return new PeerClient();
   }
 
   /**
@@ -87,38 +79,37 @@
     }
   }
 
-  close(): Promise<void> {
-    return this.agent.destroy();
-  }
-
   private async post(
     address: string,
     body: unknown,
     timeoutMilliseconds: number,
   ): Promise<Either<TypedError, JSONRPCResponse>> {
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(), timeoutMilliseconds);
-    try {
-      const response = await request(`http://${address}/rpc`, {
-        method: 'POST',
-        dispatcher: this.agent,
-        headers: {'content-type': 'application/json'},
-        body: JSON.stringify(body),
-        signal: abort.signal,
-      });
-      return Right((await response.body.json()) as JSONRPCResponse);
-    } catch (thrown) {
-      const cause = thrown as {code?: string; message?: string};
-      const text = `${cause.code ?? ''} ${cause.message ?? ''}`;
-      const message = `host ${address} did not answer: ${text.trim()}`;
-      return Left(
-        NOT_SENT.test(text)
-          ? UnavailableError.create(message, {isUnreachable: true})
-          : UncertainError.create(message),
-      );
-    } finally {
-      clearTimeout(timer);
-    }
+    const answer = await this.clientFor(address).call({
+      url: `http://${address}/rpc`,
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(body),
+      timeoutMilliseconds,
+    });
+    return answer.chain(({body: bytes}) => {
+      try {
+        return Right(JSON.parse(bytes.toString('utf8')) as JSONRPCResponse);
+      } catch {
+        return Left(UncertainError.create(`host ${address} sent no JSON`));
+      }
+    });
+  }
+
+  private clientFor(address: string): HttpClient {
+    const known = this.clients.get(address);
+    if (known) return known;
+    const client = HttpClient.create({
+      connections: CONNECTIONS_PER_HOST,
+      connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+      keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
+    });
+    this.clients.set(address, client);
+    return client;
   }
 }
 
--- a/packages/cell-host/src/peer_server.ts
+++ b/packages/cell-host/src/peer_server.ts
@@ -14,7 +14,8 @@
 
 /** Serves the calls of other hosts and the metrics page. */
 export class PeerServer {
-  private readonly methods = new JSONRPCServer();
+  // Failures are answers here, and their own log lines say why.
+  private readonly methods = new JSONRPCServer({errorListener: () => {}});
   private readonly server: Server;
 
   private constructor(
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -22,11 +22,14 @@
 /** A request that was not sent anywhere waits this long for an owner. */
 const OWNER_WAIT_MILLISECONDS = 700;
 
+/** A request in doubt is answered as such after this long. */
+const DOUBT_MILLISECONDS = 1_300;
+
 /** Pause before the owner is looked up again. */
 const RETRY_PAUSE_MILLISECONDS = 60;
 
 /** A call to the owner that takes longer than this is tried again. */
-const CALL_TIMEOUT_MILLISECONDS = 1_500;
+const CALL_TIMEOUT_MILLISECONDS = 1_200;
 
 interface ShardGatewayOptions {
   membership: Membership;
@@ -109,13 +112,15 @@
     deadline: number,
   ): Promise<Either<TypedError, z.infer<Result>>> {
     const {clock, localOwner} = this.options;
-    const giveUpAt = clock.monotonicNow() + OWNER_WAIT_MILLISECONDS;
+    const startedAt = clock.monotonicNow();
+    const giveUpAt = startedAt + OWNER_WAIT_MILLISECONDS;
+    const latest = Math.min(deadline, startedAt + DOUBT_MILLISECONDS);
     let isInDoubt = false;
-    while (clock.monotonicNow() < deadline) {
+    while (clock.monotonicNow() < latest) {
       const owner = localOwner();
       const outcome: Either<TypedError, unknown> = owner
-        ? await withDeadline(clock, local(owner), deadline)
-        : await this.callRemote(method, parameters, result, deadline);
+        ? await withDeadline(clock, local(owner), latest)
+        : await this.callRemote(method, parameters, result, latest);
       if (outcome.isRight()) {
         return Right(outcome.extract() as z.infer<Result>);
       }
@@ -134,9 +139,7 @@
       }
       await clock.sleepUntil(clock.monotonicNow() + RETRY_PAUSE_MILLISECONDS);
     }
-    return Left(
-      UncertainError.create('the deadline passed before the owner answered'),
-    );
+    return Left(UncertainError.create('the owner has not answered in time'));
   }
 
   private async callRemote<Result extends z.ZodType>(
--- /dev/null
+++ b/packages/http-client/src/http_client.ts
@@ -0,0 +1,125 @@
+import {
+  type TypedError,
+  UnavailableError,
+  UncertainError,
+} from '@cardamomfield/errors';
+import {type Either, Left, Right} from 'purify-ts';
+import {Agent, request} from 'undici';
+
+/** One HTTP call with a time limit that covers the whole answer. */
+interface HttpCall {
+  url: string;
+  method: 'GET' | 'POST';
+  headers?: Record<string, string>;
+  body?: Buffer | string;
+  timeoutMilliseconds: number;
+}
+
+interface HttpAnswer {
+  status: number;
+  body: Buffer;
+}
+
+interface HttpClientOptions {
+  /** Connections to one address; calls beyond wait for a free one. */
+  connections: number;
+  /** An address that accepts no connection within this is not reachable. */
+  connectTimeoutMilliseconds: number;
+  /** Idle connections are kept this long. */
+  keepAliveMilliseconds: number;
+}
+
+/** Connections are replaced at most this often. */
+const RENEW_MILLISECONDS = 500;
+
+/** Replaced connections finish the calls they still carry within this. */
+const RETIRE_MILLISECONDS = 5_000;
+
+/** Errors of connections that were never opened: nothing was sent. */
+const NOT_SENT =
+  /ECONNREFUSED|UND_ERR_CONNECT_TIMEOUT|EHOSTUNREACH|ENETUNREACH/;
+
+/**
+ * HTTP calls over kept connections. Connections may go silent for good while
+ * new ones work, so a call that gets no answer in time retires them all, and
+ * the next call opens new ones.
+ */
+export class HttpClient {
+  private agent: Agent;
+  private renewedAt = -Infinity;
+
+  private constructor(private readonly options: HttpClientOptions) {
+    this.agent = this.open();
+  }
+
+  static create(options: HttpClientOptions): HttpClient {
+    return new HttpClient(options);
+  }
+
+  /**
+   * `UnavailableError` means that nothing was sent, `UncertainError` that the
+   * call may have been or may yet be carried out.
+   */
+  async call(call: HttpCall): Promise<Either<TypedError, HttpAnswer>> {
+    const abort = new AbortController();
+    const timer = setTimeout(() => {
+      abort.abort();
+      this.renew();
+    }, call.timeoutMilliseconds);
+    try {
+      const response = await request(call.url, {
+        dispatcher: this.agent,
+        method: call.method,
+        headers: call.headers,
+        body: call.body,
+        signal: abort.signal,
+      });
+      const body = Buffer.from(await response.body.arrayBuffer());
+      return Right({status: response.statusCode, body});
+    } catch (thrown) {
+      return Left(toError(call.url, thrown, abort.signal.aborted));
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private renew(): void {
+    const now = performance.now();
+    if (now - this.renewedAt < RENEW_MILLISECONDS) return;
+    this.renewedAt = now;
+    const retired = this.agent;
+    this.agent = this.open();
+    setTimeout(() => void retired.destroy(), RETIRE_MILLISECONDS).unref();
+  }
+
+  private open(): Agent {
+    return new Agent({
+      connections: this.options.connections,
+      pipelining: 1,
+      connect: {timeout: this.options.connectTimeoutMilliseconds},
+      keepAliveTimeout: this.options.keepAliveMilliseconds,
+    });
+  }
+}
+
+function toError(
+  url: string,
+  thrown: unknown,
+  isTimedOut: boolean,
+): TypedError {
+  const cause = thrown as {code?: string | number; message?: string};
+  const text = isTimedOut
+    ? 'timed out'
+    : `${cause.code ?? ''} ${cause.message ?? ''}`.trim();
+  const message = `no answer from ${url.split('?')[0]}: ${text}`;
+  return NOT_SENT.test(text)
+    ? UnavailableError.create(message, {
+        isUnreachable: true,
+        isRefused: text.includes('ECONNREFUSED'),
+      })
+    : UncertainError.create(message);
+}
--- /dev/null
+++ b/packages/http-client/src/index.ts
@@ -0,0 +1,2 @@
+/** HTTP calls with a time limit each. */
+export * from './http_client.js';
--- a/packages/shard-owner/src/claim_shard.ts
+++ b/packages/shard-owner/src/claim_shard.ts
@@ -20,7 +20,7 @@
 interface ClaimShardOptions {
   log: ShardLog;
   clock: Clock;
-  /** The claimant, with the highest epoch it has heard of. */
+  /** The claimant, with the epoch of the owner that it replaces. */
   claimant: OwnerRecord;
   random: () => number;
 }
@@ -33,17 +33,12 @@
   options: ClaimShardOptions,
 ): Promise<Either<TypedError, ShardClaim>> {
   const {log, clock} = options;
-  const known = await log.readNewest();
-  if (known.isLeft()) return known as Either<TypedError, never>;
-  const newestEpoch = Math.max(
-    options.claimant.epoch,
-    readOwner(toMap(known.unsafeCoerce()))?.epoch ?? 0,
-  );
-  const claim = {...options.claimant, epoch: newestEpoch + 1};
+  const claim = {...options.claimant, epoch: options.claimant.epoch + 1};
   const sequence = Math.floor(options.random() * SEQUENCE_RANGE);
   const record = {key: OWNER_KEY, value: JSON.stringify(claim)};
   const sentAt = clock.monotonicNow();
   const appended = await appendClaim(log, record, claim.epoch, sequence);
+  if (appended.extract() instanceof ConflictError) return findNewerOwner(log);
   if (appended.isLeft()) return appended as Either<TypedError, never>;
   const read = await log.readNewest();
   if (read.isLeft()) return read as Either<TypedError, never>;
@@ -62,6 +57,16 @@
   });
 }
 
+/** The failure of a claim that came too late, with the owner to follow. */
+async function findNewerOwner(
+  log: ShardLog,
+): Promise<Either<TypedError, never>> {
+  const read = await log.readNewest();
+  if (read.isLeft()) return read as Either<TypedError, never>;
+  const owner = readOwner(toMap(read.unsafeCoerce()));
+  return Left(ConflictError.create('the shard has a newer owner', {owner}));
+}
+
 async function appendClaim(
   log: ShardLog,
   record: {key: string; value: string},
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,6 +14,16 @@
   },
 };
 
+/** Leaves out the translations of schema errors; nothing reads them. */
+const withoutLocales = {
+  name: 'without-locales',
+  setup(builder) {
+    builder.onLoad({filter: /zod\/v4\/locales\/index\.js$/}, () => ({
+      contents: "export {default as en} from './en.js';",
+    }));
+  },
+};
+
 await build({
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/cardamomfield.mjs',
@@ -24,7 +34,7 @@
   minify: true,
   keepNames: true,
   sourcemap: false,
-  plugins: [fromSources],
+  plugins: [fromSources, withoutLocales],
   // CommonJS libraries in the bundle call require for Node's own modules.
   banner: {
     js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
