--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -22,14 +22,19 @@
 const KEEP_ALIVE_MILLISECONDS = 10_000;
 
 /** Failures that another host may answer, by their code. */
-const ERRORS: Record<string, (message: string) => TypedError> = {
+const ERRORS: Record<
+  string,
+  (message: string, details: Details) => TypedError
+> = {
   'not-owner': () => NotOwnerError.create(),
-  'not-found': message => NotFoundError.create(message),
-  refused: message => RefusedError.create(message),
-  unavailable: message => UnavailableError.create(message),
-  cancelled: message => CancelledError.create(message),
+  'not-found': NotFoundError.create,
+  refused: RefusedError.create,
+  unavailable: UnavailableError.create,
+  cancelled: CancelledError.create,
 };
 
+type Details = Readonly<Record<string, unknown>>;
+
 /** Calls methods of other hosts by JSON-RPC over HTTP. */
 export class PeerClient {
   private nextId = 1;
@@ -114,8 +119,11 @@
 }
 
 function toError(thrown: unknown): TypedError {
-  const {message, data} = thrown as {message: string; data?: {code?: string}};
+  const {message, data} = thrown as {
+    message: string;
+    data?: {code?: string; details?: Details};
+  };
   const create = ERRORS[data?.code ?? ''];
-  if (create) return create(message);
+  if (create) return create(message, data?.details ?? {});
   return UncertainError.create(message, {}, thrown);
 }
--- a/packages/cell-host/src/peer_server.ts
+++ b/packages/cell-host/src/peer_server.ts
@@ -99,5 +99,6 @@
 function asException(error: TypedError): JSONRPCErrorException {
   return new JSONRPCErrorException(error.message, APPLICATION_ERROR, {
     code: error.code,
+    details: error.details,
   });
 }
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -139,7 +139,12 @@
       }
       await clock.sleepUntil(clock.monotonicNow() + RETRY_PAUSE_MILLISECONDS);
     }
-    return Left(UncertainError.create('the owner has not answered in time'));
+    const message = 'the owner has not answered in time';
+    return Left(
+      isInDoubt
+        ? UncertainError.create(message)
+        : UnavailableError.create(message),
+    );
   }
 
   private async callRemote<Result extends z.ZodType>(
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -27,7 +27,7 @@
 /** Most bytes of one append; half of what the log takes in one call. */
 const MAXIMUM_BATCH_BYTES = 1_000_000;
 
-/** Without a successful append for this long the log counts as down. */
+/** An append without success for this long means that the log is down. */
 const LOG_DOWN_MILLISECONDS = 600;
 
 interface Waiter {
@@ -61,6 +61,8 @@
   private openBatch = 1;
   private provedAt: number;
   private failingSince: number | undefined;
+  /** Monotonic time at which the append in flight was first sent. */
+  private pendingSince: number | undefined;
   private clockDifference: number;
   private isStopped = false;
   private readonly wakeUp: Notifier;
@@ -106,9 +108,13 @@
 
   /** True while appends have failed for so long that new work is refused. */
   isLogDown(): boolean {
-    const since = this.failingSince;
-    if (since === undefined) return false;
-    return this.options.clock.monotonicNow() - since > LOG_DOWN_MILLISECONDS;
+    return this.logDownMilliseconds > LOG_DOWN_MILLISECONDS;
+  }
+
+  /** How long the present append has been without success; 0 when idle. */
+  get logDownMilliseconds(): number {
+    if (this.pendingSince === undefined) return 0;
+    return this.options.clock.monotonicNow() - this.pendingSince;
   }
 
   /** True from the first failed append until one succeeds again. */
@@ -162,6 +168,7 @@
   }
 
   private async appendChunk(records: ShardRecord[]): Promise<void> {
+    this.pendingSince = this.options.clock.monotonicNow();
     while (!this.isStopped) {
       const sentAt = this.options.clock.monotonicNow();
       const result = await this.options.log.append(
@@ -171,6 +178,7 @@
       );
       if (await this.settle(result, sentAt)) break;
     }
+    this.pendingSince = undefined;
     this.nextSequence++;
   }
 
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -36,6 +36,9 @@
 /** The scheduler runs at least this often, for timed work and drains. */
 const TICK_MILLISECONDS = 200;
 
+/** Longest time that a caller is asked to stay away during an outage. */
+const LONGEST_RETRY_AFTER_MILLISECONDS = 4_000;
+
 /** Changes within this span are scheduled together. */
 const COALESCE_MILLISECONDS = 4;
 
@@ -157,7 +160,11 @@
     if (known?.isAccepted) return Right(undefined);
     if (known) return this.journal.commit();
     if (this.journal.isLogDown()) {
-      return Left(UnavailableError.create('the shard log takes no appends'));
+      return Left(
+        UnavailableError.create('the shard log takes no appends', {
+          retryAfterMilliseconds: this.retryAfterMilliseconds(),
+        }),
+      );
     }
     const now = this.options.clock.wallNow();
     const submission = SubmissionRecord.create(id, queue, specification, now);
@@ -196,6 +203,14 @@
     return this.state.countPending(queueName);
   }
 
+  /** An outage is expected to last as long again as it has lasted. */
+  private retryAfterMilliseconds(): number {
+    return Math.min(
+      LONGEST_RETRY_AFTER_MILLISECONDS,
+      Math.round(this.journal.logDownMilliseconds),
+    );
+  }
+
   private noteChange(): void {
     this.hasChanged = true;
     this.wakeUp.notify();
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -23,7 +23,7 @@
 const LEASE_MILLISECONDS = 5_000;
 
 /** A look waits this long at the worker for an end. */
-const LOOK_WAIT_MILLISECONDS = 700;
+const LOOK_WAIT_MILLISECONDS = 500;
 
 /** Looks at a worker where tasks may disturb serving tasks are this short. */
 const WATCHFUL_LOOK_WAIT_MILLISECONDS = 350;
