Make room for services and urgent work by preemption

Change: a service task that waits 0.4 s, and a task of a lower priority number that waits 0.12 s, stop checkpointed lower work on an approved worker, which is kept for them for 2.5 s. Services are never stopped.

--- a/packages/cell-scheduler/src/index.ts
+++ b/packages/cell-scheduler/src/index.ts
@@ -2,6 +2,7 @@
 export * from './advice_wish.js';
 export * from './pacing_policy.js';
 export * from './placement.js';
+export * from './preemption_policy.js';
 export * from './priority_order.js';
 export * from './record_codec.js';
 export * from './run.js';
--- a/packages/cell-scheduler/src/run.ts
+++ b/packages/cell-scheduler/src/run.ts
@@ -22,6 +22,8 @@
   /** Monotonic time at which the worker confirmed the run. */
   runningSince: number | undefined;
   progressPercent: number;
+  /** Monotonic time of the last known checkpoint, or of the start. */
+  checkpointedAt: number;
   /** Monotonic time of the last change of the progress. */
   progressedAt: number;
   load: number;
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -1,5 +1,6 @@
 import type {AdviceWish} from './advice_wish.js';
 import type {Placement} from './placement.js';
+import {PreemptionPolicy} from './preemption_policy.js';
 import type {SchedulingPass} from './scheduling_pass.js';
 import type {ShardState} from './shard_state.js';
 import type {StepState} from './step_state.js';
@@ -20,6 +21,7 @@
     private readonly state: ShardState,
     private readonly order: WaitingOrder,
     private readonly choice: WorkerChoice,
+    private readonly preemption: PreemptionPolicy,
   ) {}
 
   static create(
@@ -27,7 +29,8 @@
     order: WaitingOrder,
     choice: WorkerChoice,
   ): Scheduler {
-    return new Scheduler(state, order, choice);
+    const preemption = PreemptionPolicy.create(choice);
+    return new Scheduler(state, order, choice, preemption);
   }
 
   /**
@@ -42,7 +45,11 @@
     const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(step =>
       step.tasks.some(task => isWaiting(task, now)),
     );
-    const result: SchedulingPass = {placements: [], adviceWishes: []};
+    const result: SchedulingPass = {
+      placements: [],
+      adviceWishes: [],
+      preemptions: [],
+    };
     for (const step of this.order.sort(ready, nowUnixMilliseconds)) {
       this.placeStep(step, now, result, place);
     }
@@ -65,7 +72,17 @@
       : this.placeSeparately(step, waiting, workers, now, place);
     if (step.specification.isGang) placed.forEach(place);
     result.placements.push(...placed);
-    if (!needsAdvice || placed.length === waiting.length) return;
+    if (placed.length === waiting.length) return;
+    const approved = needsAdvice ? this.approvedWorkers(step) : workers;
+    result.preemptions.push(
+      ...this.preemption.makeRoom(
+        step,
+        waiting.length - placed.length,
+        approved,
+        now,
+      ),
+    );
+    if (!needsAdvice) return;
     const wish = this.wishFor(step, now);
     if (wish) result.adviceWishes.push(wish);
   }
@@ -148,6 +165,16 @@
     );
   }
 
+  /** Workers that may run the step, also while their tickets have expired. */
+  private approvedWorkers(step: StepState): WorkerState[] {
+    const workers: WorkerState[] = [];
+    for (const id of step.advice.tickets.keys()) {
+      const worker = this.state.workers.get(id);
+      if (worker) workers.push(worker);
+    }
+    return workers;
+  }
+
   private ticketedWorkers(step: StepState, now: number): WorkerState[] {
     const workers: WorkerState[] = [];
     for (const [id, ticket] of step.advice.tickets) {
@@ -179,9 +206,9 @@
         ticket !== undefined &&
         ticket.workerBornAt === worker.description.bornAtUnixMilliseconds &&
         ticket.validUntil - TICKET_MARGIN_MILLISECONDS > now;
-      if (!isFresh && worker.isUsable && this.choice.hasRoom(step, worker)) {
-        hasRoom = true;
-      }
+      const isHeld = worker.heldFor === step && worker.heldUntil > now;
+      const mayFit = isHeld || this.choice.hasRoom(step, worker);
+      if (!isFresh && worker.isUsable && mayFit) hasRoom = true;
       named.push(worker.id);
     }
     if (named.length === 0) return undefined;
--- a/packages/cell-scheduler/src/scheduling_pass.ts
+++ b/packages/cell-scheduler/src/scheduling_pass.ts
@@ -1,8 +1,11 @@
 import type {AdviceWish} from './advice_wish.js';
 import type {Placement} from './placement.js';
+import type {Run} from './run.js';
 
 /** What one pass over the waiting steps decided. */
 export interface SchedulingPass {
   placements: Placement[];
   adviceWishes: AdviceWish[];
+  /** Runs to stop, so that tasks that come before them fit. */
+  preemptions: Run[];
 }
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -10,6 +10,8 @@
   doneCount = 0;
   /** Attempt number shared by the members of a gang. */
   gangAttempt = 0;
+  /** Monotonic deadline before which no further room is made for the step. */
+  preemptedUntil = 0;
   /** Failed runs of a gang as a whole. */
   gangFailures = 0;
 
--- a/packages/cell-scheduler/src/worker_choice.ts
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -23,16 +23,21 @@
     worker: WorkerState,
     now: number,
   ): boolean {
-    const {specification} = step;
+    if (!this.mayServe(step, worker, now)) return false;
+    if (worker.runs.has(task.name)) return false;
+    return this.hasRoom(step, worker);
+  }
+
+  /** True when the worker may take tasks of the step, room aside. */
+  mayServe(step: StepState, worker: WorkerState, now: number): boolean {
     if (!worker.isUsable || worker.avoidUntil > now) return false;
     if (worker.description.state !== 'ready') return false;
     if (worker.description.service !== step.submission.queue.service) {
       return false;
     }
+    if (isHeldForOther(step, worker, now)) return false;
     if (!this.hasLabel(step, worker)) return false;
-    if (worker.runs.has(task.name)) return false;
-    if (!this.hasRoom(step, worker)) return false;
-    const {maximumPerWorker} = specification;
+    const {maximumPerWorker} = step.specification;
     return maximumPerWorker === 0 || step.countOn(worker.id) < maximumPerWorker;
   }
 
@@ -97,6 +102,16 @@
   }
 }
 
+function isHeldForOther(
+  step: StepState,
+  worker: WorkerState,
+  now: number,
+): boolean {
+  const holder = worker.heldFor;
+  if (!holder || holder === step || worker.heldUntil <= now) return false;
+  return holder.submission.queue.priority <= step.submission.queue.priority;
+}
+
 function countServing(worker: WorkerState): number {
   let count = 0;
   for (const run of worker.runs.values()) {
--- a/packages/cell-scheduler/src/worker_state.ts
+++ b/packages/cell-scheduler/src/worker_state.ts
@@ -1,5 +1,6 @@
 import type {WorkerDescription} from '@cardamomfield/cell-model';
 import type {Run} from './run.js';
+import type {StepState} from './step_state.js';
 
 /** One life of a worker and the runs that hold its capacity. */
 export class WorkerState {
@@ -13,6 +14,10 @@
   /** Monotonic deadline until which the worker gets no new runs. */
   avoidUntil = 0;
 
+  /** Step that freed room is kept for, until the monotonic deadline. */
+  heldFor: StepState | undefined;
+  heldUntil = 0;
+
   private constructor(public description: WorkerDescription) {}
 
   static create(description: WorkerDescription): WorkerState {
--- a/packages/shard-owner/src/run_book.ts
+++ b/packages/shard-owner/src/run_book.ts
@@ -230,6 +230,7 @@
     placedAt: now,
     runningSince: undefined,
     progressPercent: 0,
+    checkpointedAt: now,
     progressedAt: now,
     load: 0,
     pacePercent: 100,
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -305,6 +305,15 @@
       placement => runs.push(this.book.begin(placement)),
     );
     this.desk.send(pass.adviceWishes);
+    for (const run of pass.preemptions) {
+      this.options.logger.info('run preempted', {
+        task: run.task.name,
+        attempt: run.attempt,
+        worker: run.workerId,
+        progressPercent: run.progressPercent,
+      });
+      this.stopRun(run);
+    }
     if (runs.length > 0) void this.startAll(runs);
   }
 
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -299,6 +299,7 @@
   private confirm(run: Run): void {
     run.phase = 'running';
     run.runningSince = this.options.clock.monotonicNow();
+    run.checkpointedAt = run.runningSince;
     run.step.submission.hasStarted = true;
   }
 
@@ -451,6 +452,7 @@
     run.progressPercent = row.progressPercent;
     run.load = row.load;
     if (row.checkpoint === '' || row.checkpoint === run.task.checkpoint) return;
+    run.checkpointedAt = now;
     const {step, task} = run;
     const owners = step.specification.isGang ? step.tasks : [task];
     for (const member of owners) member.checkpoint = row.checkpoint;
