Prove ownership by random runs and mend four faults that they found

OwnershipRun plays hosts, workers and the log in virtual time with cuts, freezes, kills, restarts under the same ID, late orders, lost answers and outages, and checks from the workers' side that no task runs twice, none starts after an acknowledged end, no worker is over-committed, and accepted work ends. Five broken variants are noticed (fence, intent, wait, acknowledgement, proof). Change: acknowledgements are bound to the life; a look after a silence or a freeze acknowledges nothing, and no start goes out before it.

--- /dev/null
+++ b/packages/cell-stand-ins/src/ownership_run.test.ts
@@ -0,0 +1,133 @@
+import type {ShardLog, WorkerLink} from '@cardamomfield/cell-model';
+import {Right} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import type {HostWeakness} from './host_weakness.js';
+import {OwnershipRun} from './ownership_run.js';
+
+const SEEDS = Array.from({length: 40}, (_, index) => index + 1);
+
+/** Rare faults need many runs before one of them shows a weakness. */
+const WEAKNESS_SEEDS = 1_000;
+
+/** Plays seeds until one breaks a promise; returns whether any did. */
+async function isNoticed(weakness: HostWeakness): Promise<boolean> {
+  for (let seed = 1; seed <= WEAKNESS_SEEDS; seed++) {
+    const {broken} = await OwnershipRun.play(seed, weakness);
+    if (broken.length > 0) return true;
+  }
+  return false;
+}
+
+/** A link whose given calls are replaced. */
+function replace(link: WorkerLink, calls: Partial<WorkerLink>): WorkerLink {
+  return {
+    start: order => link.start(order),
+    stop: (name, attempt, fence) => link.stop(name, attempt, fence),
+    pace: (name, attempt, percent, fence) =>
+      link.pace(name, attempt, percent, fence),
+    look: order => link.look(order),
+    close: () => link.close(),
+    ...calls,
+  };
+}
+
+describe('ownership by epoch, fence and lease', () => {
+  // Guards against two runs of a task, a start after an acknowledged end, an
+  // over-committed worker, and accepted work that never ends.
+  it('keeps its promises under random faults', async () => {
+    let completed = 0;
+    for (const seed of SEEDS) {
+      const result = await OwnershipRun.play(seed);
+      expect({seed, broken: result.broken}).toEqual({seed, broken: []});
+      completed += result.completed;
+    }
+    // Without completed work the runs would show nothing.
+    expect(completed).toBeGreaterThan(SEEDS.length);
+  });
+
+  // Each variant breaks one part of the rule; runs that pass with it would
+  // prove nothing about that part.
+  it('notices a look that does not carry the fence', async () => {
+    const weakness: HostWeakness = {
+      wrapLink: link =>
+        replace(link, {
+          look: order => link.look({...order, fence: 0}),
+          start: order => link.start({...order, fence: 0}),
+          stop: (name, attempt) => link.stop(name, attempt, 0),
+        }),
+    };
+    expect(await isNoticed(weakness)).toBe(true);
+  });
+
+  it('notices orders that go out before their intent is durable', async () => {
+    const weakness: HostWeakness = {
+      wrapLog: log => {
+        const hasty: ShardLog = {
+          readNewest: () => log.readNewest(),
+          confirmEpoch: epoch => log.confirmEpoch(epoch),
+          append: async (records, epoch, sequence) => {
+            const isProgress = records.every(({key}) => key.startsWith('p/'));
+            const result = log.append(records, epoch, sequence);
+            return isProgress ? Right(undefined) : result;
+          },
+        };
+        return hasty;
+      },
+    };
+    expect(await isNoticed(weakness)).toBe(true);
+  });
+
+  it('notices leases that outlast the wait of a new owner', async () => {
+    const weakness: HostWeakness = {
+      longestLeaseMilliseconds: 60_000,
+      wrapLink: link =>
+        replace(link, {
+          look: order =>
+            link.look({
+              ...order,
+              leaseEndWorkerMilliseconds:
+                order.leaseEndWorkerMilliseconds === undefined
+                  ? undefined
+                  : order.leaseEndWorkerMilliseconds + 60_000,
+            }),
+        }),
+    };
+    expect(await isNoticed(weakness)).toBe(true);
+  });
+
+  it('notices ends that are acknowledged before they are durable', async () => {
+    const weakness: HostWeakness = {
+      wrapLink: link => {
+        let newest = 0;
+        return replace(link, {
+          look: async order => {
+            const report = await link.look({
+              ...order,
+              acknowledgedEnd: Math.max(newest, order.acknowledgedEnd),
+            });
+            const ends = report.map(({ends}) => ends.at(-1)?.number ?? 0);
+            newest = Math.max(newest, ends.orDefault(0));
+            return report;
+          },
+        });
+      },
+    };
+    expect(await isNoticed(weakness)).toBe(true);
+  });
+
+  it('notices a log that confirms every epoch', async () => {
+    const weakness: HostWeakness = {
+      wrapLog: log => ({
+        readNewest: () => log.readNewest(),
+        confirmEpoch: () => Promise.resolve(Right(undefined)),
+        append: async (records, epoch, sequence) => {
+          const result = await log.append(records, epoch, sequence);
+          return records.some(({key}) => key === 'o')
+            ? result
+            : Right(undefined);
+        },
+      }),
+    };
+    expect(await isNoticed(weakness)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -0,0 +1,139 @@
+import type {WorkerDescription, WorkerLink} from '@cardamomfield/cell-model';
+import type {ManualClock, RandomSource} from '@cardamomfield/clock';
+import {SilentLogger} from '@cardamomfield/logger';
+import {ShardOwner, claimShard} from '@cardamomfield/shard-owner';
+import {FreezableClock} from './freezable_clock.js';
+import type {HostWeakness} from './host_weakness.js';
+import {MemoryCellLink} from './memory_cell_link.js';
+import type {MemoryCellWorker} from './memory_cell_worker.js';
+import {MemoryShardLog} from './memory_shard_log.js';
+import type {MemoryShardStore} from './memory_shard_store.js';
+
+/** How often a host reads the list of workers. */
+const DIRECTORY_MILLISECONDS = 250;
+
+const TIMING = {
+  maximumLeaseMilliseconds: 10_000,
+  stopMilliseconds: 100,
+  gangWaitMilliseconds: 3_000,
+  keepEndedMilliseconds: 600_000,
+};
+
+interface SimulatedOwnerHostOptions {
+  name: string;
+  store: MemoryShardStore;
+  workers: ReadonlyMap<string, MemoryCellWorker>;
+  base: ManualClock;
+  random: RandomSource;
+  weakness: HostWeakness;
+}
+
+/** One host that may own the shard, with the faults of its surroundings. */
+export class SimulatedOwnerHost {
+  readonly clock: FreezableClock;
+  readonly log: MemoryShardLog;
+  readonly faults = new Map<string, {isCut: boolean; lateShare: number}>();
+  owner: ShardOwner | undefined;
+  private incarnation = 0;
+  private isClaiming = false;
+
+  private constructor(private readonly options: SimulatedOwnerHostOptions) {
+    const {base, store, random, workers} = options;
+    this.clock = FreezableClock.create(base);
+    this.log = MemoryShardLog.create(store, base, this.clock, random);
+    for (const id of workers.keys()) {
+      this.faults.set(id, {isCut: false, lateShare: 0});
+    }
+  }
+
+  static create(options: SimulatedOwnerHostOptions): SimulatedOwnerHost {
+    return new SimulatedOwnerHost(options);
+  }
+
+  /** Claims the shard with the epoch that follows the given one. */
+  async claim(epoch: number): Promise<void> {
+    const {name, random} = this.options;
+    if (this.owner || this.isClaiming) return;
+    this.isClaiming = true;
+    const incarnation = ++this.incarnation;
+    const log = this.options.weakness.wrapLog?.(this.log) ?? this.log;
+    const claim = await claimShard({
+      log,
+      clock: this.clock,
+      claimant: {
+        shard: 'cell-0',
+        epoch,
+        hostName: name,
+        address: name,
+        incarnation: `${name}-${incarnation}`,
+      },
+      random: () => random.fraction(),
+    });
+    this.isClaiming = false;
+    if (claim.isLeft() || incarnation !== this.incarnation) return;
+    const owner = ShardOwner.create({
+      claim: claim.unsafeCoerce(),
+      log,
+      links: {open: worker => this.open(worker)},
+      directory: {
+        follow: (onChange, signal) => this.followWorkers(onChange, signal),
+      },
+      adviceChannels: () => [],
+      clock: this.clock,
+      logger: SilentLogger.create(),
+      timing: TIMING,
+      onLost: () => {
+        if (this.owner === owner) this.owner = undefined;
+      },
+    });
+    this.owner = owner;
+    void owner.run();
+  }
+
+  /** The process dies; a new one knows nothing. */
+  kill(): void {
+    this.incarnation++;
+    this.owner?.stop();
+    this.owner = undefined;
+  }
+
+  heal(): void {
+    this.clock.unfreeze();
+    this.log.isCut = false;
+    this.log.lostShare = 0;
+    for (const fault of this.faults.values()) {
+      fault.isCut = false;
+      fault.lateShare = 0;
+    }
+  }
+
+  private open(description: WorkerDescription): WorkerLink {
+    const {workers, base, random, weakness} = this.options;
+    const worker = workers.get(description.id);
+    const faults = this.faults.get(description.id);
+    if (!worker || !faults) throw new RangeError(description.id);
+    const link = MemoryCellLink.create(
+      worker,
+      faults,
+      base,
+      this.clock,
+      random,
+    );
+    return weakness.wrapLink?.(link) ?? link;
+  }
+
+  private async followWorkers(
+    onChange: (id: string, worker: WorkerDescription | undefined) => void,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted) {
+      for (const [id, worker] of this.options.workers) {
+        if (worker.isUp) onChange(id, worker.describe());
+      }
+      await this.clock.sleepUntil(
+        this.clock.monotonicNow() + DIRECTORY_MILLISECONDS,
+        signal,
+      );
+    }
+  }
+}
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -65,6 +65,7 @@
   private pendingSince: number | undefined;
   private clockDifference: number;
   private isStopped = false;
+  private freezes = 0;
   private readonly wakeUp: Notifier;
   private nextSequence: number;
 
@@ -106,6 +107,12 @@
     return !this.isStopped && age < PROOF_VALID_MILLISECONDS;
   }
 
+  /** How often this process stood still; what it knew may be stale then. */
+  get freezeCount(): number {
+    this.checkForFreeze();
+    return this.freezes;
+  }
+
   /** True while appends have failed for so long that new work is refused. */
   isLogDown(): boolean {
     return this.logDownMilliseconds > LOG_DOWN_MILLISECONDS;
@@ -248,6 +255,7 @@
     const drift = Math.abs(difference - this.clockDifference);
     if (drift <= MAXIMUM_DRIFT_MILLISECONDS) return;
     this.clockDifference = difference;
+    this.freezes++;
     this.provedAt = -Infinity;
     this.wakeUp.notify();
     this.options.logger.warn('clocks parted; epoch must be proved again', {
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -85,6 +85,8 @@
   private isStopped = false;
   private isReachable = true;
   private hasForeignRuns = false;
+  /** Freezes of this process before the last look that was answered. */
+  private freezesAtReport = 0;
   private lastLookSentAt = -Infinity;
   private lastRunning = new Set<string>();
 
@@ -110,6 +112,7 @@
       this.link.close();
       this.link = this.options.links.open(description);
       this.worker.isUsable = false;
+      this.acknowledgedEnd = 0;
       this.wakeUp.notify();
     }
     if (earlier.state !== description.state) this.options.onChange();
@@ -173,6 +176,11 @@
     this.link.close();
   }
 
+  /** False after a freeze until the worker was looked at again. */
+  private get isUpToDate(): boolean {
+    return this.freezesAtReport === this.options.journal.freezeCount;
+  }
+
   /** True once nothing that was started here can still run. */
   get areLeasesOver(): boolean {
     return this.options.clock.monotonicNow() > this.leaseEndsAt;
@@ -184,7 +192,8 @@
     run.phase = 'ordering';
     const {journal, book} = this.options;
     for (let attempt = 0; attempt < START_TRIES; attempt++) {
-      const mayOrder = journal.hasAuthority() && this.workerClock.isKnown;
+      const mayOrder =
+        journal.hasAuthority() && this.workerClock.isKnown && this.isUpToDate;
       if (!mayOrder && attempt === 0) {
         book.vanish(run, 'no authority', REFUSED_PAUSE_MILLISECONDS);
         return;
@@ -326,10 +335,13 @@
       this.workerClock.isKnown &&
       journal.hasAuthority();
     const link = this.link;
+    const freezes = journal.freezeCount;
     const result = await link.look({
       leaseEndWorkerMilliseconds: mayRenew ? this.grantLease(now) : undefined,
       fence: journal.epoch,
-      acknowledgedEnd: this.acknowledgedEnd,
+      // After a silence or a freeze another life may answer, which numbers its ends anew.
+      acknowledgedEnd:
+        this.isReachable && this.isUpToDate ? this.acknowledgedEnd : 0,
       waitMilliseconds: this.lookWait(),
     });
     if (result.isRight()) {
@@ -337,6 +349,7 @@
         logger.info('worker regained', {worker: this.worker.id});
       }
       this.isReachable = true;
+      this.freezesAtReport = freezes;
       return result.unsafeCoerce();
     }
     if (link === this.link && this.isReachable) {
@@ -389,7 +402,13 @@
   /** A worker that restarted has forgotten all runs, ends and its clock. */
   private enterLife(report: WorkerReport): void {
     const {book, logger} = this.options;
-    const running = new Map(report.running.map(row => [row.taskName, row]));
+    // A run may have started, and even ended, in the new life already.
+    const present = new Map(
+      [...report.running, ...report.ends].map(row => [
+        row.taskName,
+        row.attempt,
+      ]),
+    );
     const isRestart = this.bornAt !== 0;
     this.bornAt = report.bornAtUnixMilliseconds;
     this.processedEnd = 0;
@@ -400,8 +419,7 @@
     for (const run of [...this.worker.runs.values()]) {
       if (run.task.workerBornAt === this.bornAt) continue;
       if (run.phase === 'recording') continue;
-      const row = running.get(run.task.name);
-      if (row?.attempt === run.attempt) {
+      if (present.get(run.task.name) === run.attempt) {
         run.task.workerBornAt = this.bornAt;
       } else if (run.phase === 'ordering' && isRestart) {
         // The order may still reach the new life: withdraw it there first.
@@ -461,11 +479,13 @@
   private async recordEnds(): Promise<void> {
     const {journal, clock} = this.options;
     const processed = this.processedEnd;
+    const life = this.bornAt;
     const pause = clock.sleepUntil(
       clock.monotonicNow() + LOOK_PAUSE_WITHOUT_LOG_MILLISECONDS,
     );
     const commit = journal.commit().then(result => {
-      if (result.isRight()) {
+      // A worker that restarted meanwhile numbers its ends anew.
+      if (result.isRight() && life === this.bornAt) {
         this.acknowledgedEnd = Math.max(this.acknowledgedEnd, processed);
       }
     });
