Place tasks while their submission's record is on its way

Intents follow the submission's record in the same log, and orders wait for their intents, so nothing can start before both are durable.

--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -40,7 +40,9 @@
   /** Steps whose dependencies are done and whose time has come. */
   *readySteps(nowUnixMilliseconds: number): Iterable<StepState> {
     for (const submission of this.open) {
-      if (!submission.isAccepted || submission.ending) continue;
+      // Also before it is durable: intents follow it in the log, and orders
+      // follow their intents.
+      if (submission.ending) continue;
       for (let k = 0; k < submission.occurrenceCount; k++) {
         if (submission.dueAt(k) > nowUnixMilliseconds) break;
         yield* readyStepsOf(submission.stepsOf(k));
--- a/packages/cell-scheduler/src/submission_record.ts
+++ b/packages/cell-scheduler/src/submission_record.ts
@@ -9,7 +9,7 @@
   /** Wall-clock time of the ending or completion, in Unix milliseconds. */
   endedAtUnixMilliseconds: number | undefined;
   hasStarted = false;
-  /** True once the record is durable and the submission may be run. */
+  /** True once the record is durable and callers may be told of it. */
   isAccepted = false;
   /** True once the completion of all tasks is durable. */
   isCompletionDurable = false;
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -170,6 +170,7 @@
     const submission = SubmissionRecord.create(id, queue, specification, now);
     this.state.add(submission);
     this.journal.mark(RecordCodec.submissionKey(id));
+    this.noteChange();
     const committed = await this.journal.commit();
     if (committed.isLeft()) return committed;
     submission.isAccepted = true;
@@ -178,7 +179,6 @@
       queue: queue.name,
       steps: specification.steps.map(step => step.taskCount),
     });
-    this.noteChange();
     return committed;
   }
 
