--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '@cardamomfield/clock';
 import {type TypedError, UnavailableError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
 import {
   type AdviceChannel,
   type ShardClaim,
@@ -40,6 +41,7 @@
   server: PeerServer;
   clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   random: () => number;
   /** New after each start of the process. */
   incarnation: string;
@@ -193,7 +195,7 @@
   }
 
   private becomeOwner(claim: ShardClaim): void {
-    const {ports, clock, logger, settings} = this.options;
+    const {ports, clock, logger, metrics, settings} = this.options;
     if (this.stopping.signal.aborted) return;
     const owner = ShardOwner.create({
       claim,
@@ -203,12 +205,15 @@
       adviceChannels: () => this.adviceChannels(),
       clock,
       logger,
+      metrics,
       timing: settings.timing,
       onLost: () => {
         if (this.owner === owner) this.owner = undefined;
       },
     });
     this.owner = owner;
+    metrics.increment('shard_claims');
+    metrics.gauge('owned_epoch', claim.owner.epoch);
     void owner.run();
     void this.announceOwner(claim);
   }
--- a/packages/cell-host/src/peer_server.ts
+++ b/packages/cell-host/src/peer_server.ts
@@ -12,16 +12,13 @@
 /** Largest call between hosts: a submission and its envelope. */
 const MAXIMUM_BODY_BYTES = 4_000_000;
 
-/** Serves the calls of other hosts and the metrics page. */
+/** Serves the calls of other hosts. */
 export class PeerServer {
   // Failures are answers here, and their own log lines say why.
   private readonly methods = new JSONRPCServer({errorListener: () => {}});
   private readonly server: Server;
 
-  private constructor(
-    private readonly logger: Logger,
-    renderMetrics: () => Promise<string>,
-  ) {
+  private constructor(private readonly logger: Logger) {
     const app = new App({settings: {xPoweredBy: false}});
     app.post('/rpc', async (request, response) => {
       const chunks: Buffer[] = [];
@@ -39,20 +36,13 @@
       response.writeHead(200, {'content-type': 'application/json'});
       response.end(JSON.stringify(answer ?? null));
     });
-    app.get('/metrics', async (_request, response) => {
-      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-      response.end(await renderMetrics());
-    });
     this.server = createServer((request, response) => {
       void app.handler(request as never, response as never);
     });
   }
 
-  static create(
-    logger: Logger,
-    renderMetrics: () => Promise<string>,
-  ): PeerServer {
-    return new PeerServer(logger, renderMetrics);
+  static create(logger: Logger): PeerServer {
+    return new PeerServer(logger);
   }
 
   /** Adds a method; its failures are sent with their code. */
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -1,6 +1,7 @@
 import type {WorkerDescription, WorkerLink} from '@cardamomfield/cell-model';
 import type {ManualClock, RandomSource} from '@cardamomfield/clock';
 import {SilentLogger} from '@cardamomfield/logger';
+import {MemoryMetrics} from '@cardamomfield/metrics';
 import {ShardOwner, claimShard} from '@cardamomfield/shard-owner';
 import {FreezableClock} from './freezable_clock.js';
 import type {HostWeakness} from './host_weakness.js';
@@ -81,6 +82,7 @@
       adviceChannels: () => [],
       clock: this.clock,
       logger: SilentLogger.create(),
+      metrics: MemoryMetrics.create(),
       timing: TIMING,
       onLost: () => {
         if (this.owner === owner) this.owner = undefined;
--- a/packages/shard-owner/src/advice_desk.ts
+++ b/packages/shard-owner/src/advice_desk.ts
@@ -2,6 +2,7 @@
 import type {WorkerState} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
 import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
 import type {AdviceChannel} from './advice_channel.js';
 
 /** A question that takes less than this is short. */
@@ -38,6 +39,7 @@
   workers: ReadonlyMap<string, WorkerState>;
   clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   onChange: () => void;
 }
 
@@ -92,7 +94,7 @@
     channel: AdviceChannel,
     expected: number,
   ): Promise<void> {
-    const {clock, logger} = this.options;
+    const {clock, logger, metrics} = this.options;
     const {step} = wish;
     const load = this.loadOf(channel.hostName);
     const isLong = expected >= SHORT_QUESTION_MILLISECONDS;
@@ -122,6 +124,9 @@
       const advice = result.unsafeCoerce();
       takeTickets(step, lives, advice.tickets, now + advice.validMilliseconds);
     }
+    metrics.timing('advice_milliseconds', now - sentAt, {
+      outcome: result.isRight() ? 'answered' : 'failed',
+    });
     logger.info('advice', {
       step: step.name,
       host: channel.hostName,
--- a/packages/shard-owner/src/run_book.ts
+++ b/packages/shard-owner/src/run_book.ts
@@ -10,6 +10,7 @@
 import type {RunEnd} from '@cardamomfield/cell-model';
 import type {Clock} from '@cardamomfield/clock';
 import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
 import type {ShardJournal} from './shard_journal.js';
 
 /** Pause before a task that failed or was refused is placed again. */
@@ -26,6 +27,7 @@
   journal: ShardJournal;
   clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   /** Called for a run that must be stopped on its worker. */
   onStop: (run: Run) => void;
   /** Called when capacity or waiting tasks changed. */
@@ -63,6 +65,7 @@
     const isCurrent = task.run === run;
     this.release(run);
     if (!isCurrent) return;
+    this.options.metrics.increment('runs_ended', 1, {kind: end.kind});
     this.options.logger.info('run ended', {
       task: task.name,
       attempt: run.attempt,
@@ -87,6 +90,7 @@
     const isCurrent = task.run === run;
     this.release(run);
     if (!isCurrent || task.phase === 'done') return;
+    this.options.metrics.increment('runs_gone');
     this.options.logger.info('run gone', {
       task: task.name,
       attempt: run.attempt,
@@ -115,6 +119,7 @@
     submission.ending = ending;
     this.options.state.close(submission, this.options.clock.wallNow());
     this.options.journal.mark(RecordCodec.endingKey(submission.id));
+    this.options.metrics.increment('submissions_ended', 1, {ending});
     this.options.logger.info('submission ended', {
       submission: submission.id,
       ending,
@@ -203,6 +208,7 @@
     const committed = await this.options.journal.commit();
     if (committed.isLeft()) return;
     submission.isCompletionDurable = true;
+    this.options.metrics.increment('submissions_completed');
     this.options.logger.info('submission completed', {
       submission: submission.id,
     });
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -6,6 +6,7 @@
   type TypedError,
 } from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
 import {type Either, Left, Right} from 'purify-ts';
 
 /**
@@ -39,6 +40,7 @@
   log: ShardLog;
   clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   epoch: number;
   /** Sequence number of the next append. */
   nextSequence: number;
@@ -211,7 +213,12 @@
     result: Either<TypedError, void>,
     sentAt: number,
   ): Promise<boolean> {
-    const {clock, logger} = this.options;
+    const {clock, logger, metrics} = this.options;
+    metrics.timing('log_append_milliseconds', clock.monotonicNow() - sentAt, {
+      outcome: result.isRight()
+        ? 'done'
+        : (result.extract() as TypedError).code,
+    });
     if (result.isRight()) {
       this.provedAt = Math.max(this.provedAt, sentAt);
       this.clockDifference = this.readClockDifference();
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -24,6 +24,7 @@
   UnavailableError,
 } from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
 import {type Either, Left, Right} from 'purify-ts';
 import type {AdviceChannel} from './advice_channel.js';
 import {AdviceDesk} from './advice_desk.js';
@@ -56,6 +57,7 @@
   adviceChannels: () => AdviceChannel[];
   clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   timing: OwnerTiming;
   onLost: () => void;
 }
@@ -79,12 +81,13 @@
   private hasChanged = true;
 
   private constructor(private readonly options: ShardOwnerOptions) {
-    const {claim, clock, logger} = options;
+    const {claim, clock, logger, metrics} = options;
     this.wakeUp = Notifier.create(clock);
     this.journal = ShardJournal.create({
       log: options.log,
       clock,
       logger,
+      metrics,
       epoch: claim.owner.epoch,
       nextSequence: claim.nextSequence,
       provedAt: claim.provedAt,
@@ -97,6 +100,7 @@
       journal: this.journal,
       clock,
       logger,
+      metrics,
       onStop: run => this.stopRun(run),
       onChange,
     });
@@ -110,6 +114,7 @@
       workers: this.state.workers,
       clock,
       logger,
+      metrics,
       onChange,
     });
     this.earlierLeasesEndAt = leasesEndAt(options);
@@ -174,6 +179,7 @@
     const committed = await this.journal.commit();
     if (committed.isLeft()) return committed;
     submission.isAccepted = true;
+    this.options.metrics.increment('submissions_accepted');
     this.options.logger.info('submission accepted', {
       submission: id,
       queue: queue.name,
@@ -239,7 +245,7 @@
       session.describe(worker);
       return;
     }
-    const {links, clock, logger, timing} = this.options;
+    const {links, clock, logger, metrics, timing} = this.options;
     const opened = WorkerSession.create({
       description: worker,
       links,
@@ -247,6 +253,7 @@
       book: this.book,
       clock,
       logger,
+      metrics,
       timing,
       pacing: PacingPolicy.create(),
       earlierLeasesEndAt: this.earlierLeasesEndAt,
@@ -305,6 +312,7 @@
       placement => runs.push(this.book.begin(placement)),
     );
     this.desk.send(pass.adviceWishes);
+    this.options.metrics.increment('runs_preempted', pass.preemptions.length);
     for (const run of pass.preemptions) {
       this.options.logger.info('run preempted', {
         task: run.task.name,
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -14,6 +14,7 @@
 import {type Clock, Notifier} from '@cardamomfield/clock';
 import {RefusedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
+import type {Metrics} from '@cardamomfield/metrics';
 import type {OwnerTiming} from './owner_timing.js';
 import type {RunBook} from './run_book.js';
 import type {ShardJournal} from './shard_journal.js';
@@ -59,6 +60,7 @@
   book: RunBook;
   clock: Clock;
   logger: Logger;
+  metrics: Metrics;
   timing: OwnerTiming;
   pacing: PacingPolicy;
   /** Monotonic time at which leases of earlier owners have surely lapsed. */
@@ -272,7 +274,7 @@
   }
 
   private async sendStart(run: Run): Promise<StartOutcome> {
-    const {clock, journal, logger} = this.options;
+    const {clock, journal, logger, metrics} = this.options;
     const sentAt = clock.monotonicNow();
     const outcome = await this.link.start({
       taskName: run.task.name,
@@ -283,13 +285,16 @@
       checkpoint: run.task.checkpoint,
       ticket: run.ticket,
     });
+    const kind = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
+    const milliseconds = clock.monotonicNow() - sentAt;
+    metrics.timing('start_order_milliseconds', milliseconds, {outcome: kind});
     logger.info('start ordered', {
       task: run.task.name,
       attempt: run.attempt,
       worker: this.worker.id,
       epoch: journal.epoch,
-      outcome: outcome.kind === 'refused' ? outcome.reason : outcome.kind,
-      milliseconds: Math.round(clock.monotonicNow() - sentAt),
+      outcome: kind,
+      milliseconds: Math.round(milliseconds),
     });
     return outcome;
   }
@@ -328,7 +333,7 @@
   }
 
   private async look(now: number): Promise<WorkerReport | undefined> {
-    const {journal, logger} = this.options;
+    const {journal, logger, metrics} = this.options;
     const mayRenew =
       this.worker.runs.size > 0 &&
       this.isReachable &&
@@ -344,6 +349,9 @@
         this.isReachable && this.isUpToDate ? this.acknowledgedEnd : 0,
       waitMilliseconds: this.lookWait(),
     });
+    metrics.increment('worker_looks', 1, {
+      outcome: result.isRight() ? 'answered' : 'failed',
+    });
     if (result.isRight()) {
       if (!this.isReachable) {
         logger.info('worker regained', {worker: this.worker.id});
