End runs that stand still and avoid their worker

Change: a run whose progress stands still for 1.5 s, or four times its earlier pace, is stopped and its worker avoided for 2 s. Service tasks at work and paced runs are left alone.

--- a/packages/cell-scheduler/src/index.ts
+++ b/packages/cell-scheduler/src/index.ts
@@ -9,6 +9,7 @@
 export * from './scheduler.js';
 export * from './scheduling_pass.js';
 export * from './shard_state.js';
+export * from './stall_policy.js';
 export * from './step_advice.js';
 export * from './step_progress.js';
 export * from './step_state.js';
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -14,6 +14,7 @@
   type Run,
   Scheduler,
   ShardState,
+  StallPolicy,
   SubmissionRecord,
   WorkerChoice,
 } from '@cardamomfield/cell-scheduler';
@@ -256,6 +257,7 @@
       metrics,
       timing,
       pacing: PacingPolicy.create(),
+      stalls: StallPolicy.create(),
       earlierLeasesEndAt: this.earlierLeasesEndAt,
       onChange: () => this.noteChange(),
     });
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -9,6 +9,7 @@
 import {
   type PacingPolicy,
   type Run,
+  type StallPolicy,
   WorkerState,
 } from '@cardamomfield/cell-scheduler';
 import {type Clock, Notifier} from '@cardamomfield/clock';
@@ -47,6 +48,9 @@
 /** Pause between tries of a stop that was not answered. */
 const STOP_RETRY_MILLISECONDS = 250;
 
+/** A worker on which a run stood still is avoided for this long. */
+const STALL_PAUSE_MILLISECONDS = 2_000;
+
 /** A worker that refuses starts is avoided for this long. */
 const UNHEALTHY_PAUSE_MILLISECONDS = 1_000;
 
@@ -63,6 +67,7 @@
   metrics: Metrics;
   timing: OwnerTiming;
   pacing: PacingPolicy;
+  stalls: StallPolicy;
   /** Monotonic time at which leases of earlier owners have surely lapsed. */
   earlierLeasesEndAt: number;
   onChange: () => void;
@@ -314,6 +319,7 @@
     run.phase = 'running';
     run.runningSince = this.options.clock.monotonicNow();
     run.checkpointedAt = run.runningSince;
+    run.progressedAt = run.runningSince;
     run.step.submission.hasStarted = true;
   }
 
@@ -399,6 +405,7 @@
     const wasUsable = this.worker.isUsable;
     this.worker.isUsable = isCurrentLife && !this.hasForeignRuns;
     if (this.worker.isUsable !== wasUsable) this.options.onChange();
+    this.endStalledRuns(now);
     for (const change of this.options.pacing.decide(this.worker)) {
       void this.pace(change.run, change.percent);
     }
@@ -519,6 +526,22 @@
     if (result.isLeft()) run.pacePercent = percent === 100 ? 99 : 100;
   }
 
+  private endStalledRuns(now: number): void {
+    for (const run of [...this.worker.runs.values()]) {
+      if (!this.options.stalls.isStalled(run, now)) continue;
+      this.options.logger.warn('run stalled', {
+        task: run.task.name,
+        attempt: run.attempt,
+        worker: this.worker.id,
+        progressPercent: run.progressPercent,
+        standstillMilliseconds: Math.round(now - run.progressedAt),
+      });
+      run.task.lastFailedWorkerId = this.worker.id;
+      this.worker.avoidUntil = now + STALL_PAUSE_MILLISECONDS;
+      this.stopRun(run);
+    }
+  }
+
   /** Gives up the runs of a worker that nobody can reach once leases lapsed. */
   private checkLeases(): void {
     if (!this.areLeasesOver) return;
