--- a/packages/http-client/src/http_client.ts
+++ b/packages/http-client/src/http_client.ts
@@ -62,24 +62,37 @@
    */
   async call(call: HttpCall): Promise<Either<TypedError, HttpAnswer>> {
     const abort = new AbortController();
-    const timer = setTimeout(() => {
-      abort.abort();
-      this.renew();
-    }, call.timeoutMilliseconds);
+    let timer: NodeJS.Timeout | undefined;
+    // A call that still waits for a connection does not end with its signal,
+    // so the limit is kept here as well.
+    const limit = new Promise<Either<TypedError, HttpAnswer>>(resolve => {
+      timer = setTimeout(() => {
+        abort.abort();
+        this.renew();
+        resolve(Left(toError(call.url, undefined, true)));
+      }, call.timeoutMilliseconds);
+    });
+    const answer = await Promise.race([this.send(call, abort.signal), limit]);
+    clearTimeout(timer);
+    return answer;
+  }
+
+  private async send(
+    call: HttpCall,
+    signal: AbortSignal,
+  ): Promise<Either<TypedError, HttpAnswer>> {
     try {
       const response = await request(call.url, {
         dispatcher: this.agent,
         method: call.method,
         headers: call.headers,
         body: call.body,
-        signal: abort.signal,
+        signal,
       });
       const body = Buffer.from(await response.body.arrayBuffer());
       return Right({status: response.statusCode, body});
     } catch (thrown) {
-      return Left(toError(call.url, thrown, abort.signal.aborted));
-    } finally {
-      clearTimeout(timer);
+      return Left(toError(call.url, thrown, signal.aborted));
     }
   }
 
@@ -111,7 +124,7 @@
   thrown: unknown,
   isTimedOut: boolean,
 ): TypedError {
-  const cause = thrown as {code?: string | number; message?: string};
+  const cause = (thrown ?? {}) as {code?: string | number; message?: string};
   const text = isTimedOut
     ? 'timed out'
     : `${cause.code ?? ''} ${cause.message ?? ''}`.trim();
