Test the decisions; count waiting time from the first pass

Cause: the time at which a task began to wait was never set for fresh tasks, so they made others give way at once (a test of the policy showed it).

--- /dev/null
+++ b/packages/cell-scheduler/src/cell_fixture.ts
@@ -0,0 +1,88 @@
+import type {WorkerDescription} from '@cardamomfield/cell-model';
+import type {Placement} from './placement.js';
+import {PriorityOrder} from './priority_order.js';
+import type {Run} from './run.js';
+import {Scheduler} from './scheduler.js';
+import type {SchedulingPass} from './scheduling_pass.js';
+import {ShardState} from './shard_state.js';
+import {WorkerChoice} from './worker_choice.js';
+import {WorkerState} from './worker_state.js';
+
+/** A shard with its scheduler for tests; placed runs count as running. */
+export class CellFixture {
+  readonly state = ShardState.create();
+  private readonly scheduler = Scheduler.create(
+    this.state,
+    PriorityOrder.create(),
+    WorkerChoice.create(),
+  );
+
+  private constructor() {}
+
+  static create(): CellFixture {
+    return new CellFixture();
+  }
+
+  addWorker(
+    id: string,
+    description: Partial<WorkerDescription> = {},
+  ): WorkerState {
+    const worker = WorkerState.create({
+      id,
+      service: 'service',
+      address: '10.0.0.1:1',
+      availabilityZone: 'zone',
+      state: 'ready',
+      milliCores: 4_000,
+      memoryMegabytes: 4_000,
+      accelerators: 0,
+      labels: [],
+      bornAtUnixMilliseconds: 1,
+      ...description,
+    });
+    worker.isUsable = true;
+    this.state.workers.set(id, worker);
+    return worker;
+  }
+
+  /** One pass of the scheduler at a monotonic time. */
+  pass(now: number): SchedulingPass {
+    return this.scheduler.pass(now, 0, placement => this.place(placement, now));
+  }
+
+  /** Ends a run as if its worker had listed it. */
+  end(run: Run): void {
+    this.state.workers.get(run.workerId)?.remove(run);
+    run.task.run = undefined;
+    run.task.phase = 'waiting';
+    run.phase = 'gone';
+  }
+
+  private place(placement: Placement, now: number): void {
+    const {step, task, worker, ticket} = placement;
+    const {specification} = step;
+    const run: Run = {
+      step,
+      task,
+      attempt: 1,
+      workerId: worker.id,
+      phase: 'running',
+      milliCores: specification.usesSpareCapacity
+        ? 0
+        : specification.milliCores,
+      memoryMegabytes: specification.memoryMegabytes,
+      accelerators: specification.accelerators,
+      ticket,
+      placedAt: now,
+      runningSince: now,
+      progressPercent: 0,
+      checkpointedAt: now,
+      progressedAt: now,
+      load: 0,
+      pacePercent: 100,
+    };
+    task.phase = 'placed';
+    task.run = run;
+    worker.add(run);
+  }
+}
--- /dev/null
+++ b/packages/cell-scheduler/src/preemption_policy.test.ts
@@ -0,0 +1,72 @@
+import {describe, expect, it} from 'vitest';
+import {CellFixture} from './cell_fixture.js';
+import {createSubmission} from './step_fixture.js';
+
+const WAITED = 1_000;
+
+/** A full cell: two workers with one checkpointing batch run each. */
+function createFullCell(): CellFixture {
+  const cell = CellFixture.create();
+  cell.addWorker('w1', {milliCores: 1_000});
+  cell.addWorker('w2', {milliCores: 1_000});
+  const step = {taskCount: 2, savesCheckpoints: true};
+  cell.state.add(createSubmission('batch', step, {priority: 2}));
+  cell.pass(0);
+  return cell;
+}
+
+// Load pattern: a cell full of long batch work when urgent work arrives or a
+// service has lost a task.
+describe('PreemptionPolicy', () => {
+  // Guards against urgent work that waits for room to come up by itself.
+  it('stops one checkpointing run for each urgent task that waited', () => {
+    const cell = createFullCell();
+    cell.state.add(createSubmission('urgent', {}, {priority: 0}));
+    expect(cell.pass(10).preemptions).toHaveLength(0);
+    const [victim, ...others] = cell.pass(10 + WAITED).preemptions;
+    expect(victim?.step.submission.id).toBe('batch');
+    expect(others).toHaveLength(0);
+  });
+
+  // Guards against room that other work takes while a ticket is renewed.
+  it('keeps the room for the task that it was made for', () => {
+    const cell = createFullCell();
+    cell.state.add(createSubmission('urgent', {}, {priority: 0}));
+    cell.pass(10);
+    const [victim] = cell.pass(10 + WAITED).preemptions;
+    cell.end(victim!);
+    const placements = cell.pass(20 + WAITED).placements;
+    expect(placements.map(({step}) => step.submission.id)).toEqual(['urgent']);
+  });
+
+  // Guards against services that are taken away for other work.
+  it('never stops services, equals or more urgent work', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w', {milliCores: 1_000});
+    const service = {isService: true, savesCheckpoints: true};
+    cell.state.add(createSubmission('service', service, {priority: 2}));
+    cell.pass(0);
+    cell.state.add(createSubmission('urgent', {}, {priority: 0}));
+    cell.pass(10);
+    expect(cell.pass(10 + WAITED).preemptions).toHaveLength(0);
+
+    const busy = createFullCell();
+    busy.state.add(createSubmission('equal', {}, {priority: 2}));
+    busy.pass(10);
+    expect(busy.pass(10 + WAITED).preemptions).toHaveLength(0);
+  });
+
+  // Guards against lasting tasks that stay away while the cell is full.
+  it('stops work without checkpoints only for a service', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w', {milliCores: 1_000});
+    cell.state.add(createSubmission('batch', {}, {priority: 2}));
+    cell.pass(0);
+    cell.state.add(createSubmission('urgent', {}, {priority: 0}));
+    cell.pass(10);
+    expect(cell.pass(10 + WAITED).preemptions).toHaveLength(0);
+    cell.state.add(createSubmission('watch', {isService: true}));
+    cell.pass(20 + WAITED);
+    expect(cell.pass(20 + 2 * WAITED).preemptions).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/cell-scheduler/src/scheduler.test.ts
@@ -0,0 +1,98 @@
+import {describe, expect, it} from 'vitest';
+import {CellFixture} from './cell_fixture.js';
+import {createSubmission} from './step_fixture.js';
+
+const ADVICE = {
+  decisionMilliseconds: 600,
+  perWorkerMilliseconds: 6,
+  validMilliseconds: 2_500,
+};
+
+describe('Scheduler', () => {
+  // Guards against over-committed workers.
+  it('places no more than a worker holds', () => {
+    const cell = CellFixture.create();
+    const worker = cell.addWorker('w');
+    cell.state.add(createSubmission('a', {taskCount: 9, milliCores: 1_500}));
+    expect(cell.pass(0).placements).toHaveLength(2);
+    expect(worker.freeMilliCores).toBe(1_000);
+    expect(cell.pass(1).placements).toHaveLength(0);
+  });
+
+  // Guards against late urgent work behind older, less urgent work.
+  it('serves the lower priority number first', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w', {milliCores: 1_000});
+    cell.state.add(createSubmission('a', {}, {priority: 2}));
+    cell.state.add(createSubmission('b', {}, {priority: 0}));
+    const [placement] = cell.pass(0).placements;
+    expect(placement?.step.submission.id).toBe('b');
+  });
+
+  // Guards against gangs whose members wait for each other in vain.
+  it('places all members of a gang or none', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w1', {milliCores: 2_000});
+    cell.state.add(createSubmission('a', {taskCount: 3, isGang: true}));
+    expect(cell.pass(0).placements).toHaveLength(0);
+    cell.addWorker('w2', {milliCores: 1_000});
+    expect(cell.pass(1).placements).toHaveLength(3);
+  });
+
+  it('keeps to the limit of tasks of one step on a worker', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w1');
+    cell.addWorker('w2');
+    cell.state.add(createSubmission('a', {taskCount: 4, maximumPerWorker: 1}));
+    const workers = cell.pass(0).placements.map(({worker}) => worker.id);
+    expect(workers.sort()).toEqual(['w1', 'w2']);
+  });
+
+  it('uses only workers with the label, ready and in the service', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('plain');
+    cell.addWorker('leaving', {labels: ['ssd'], state: 'draining'});
+    cell.addWorker('foreign', {labels: ['ssd'], service: 'other'});
+    cell.addWorker('right', {labels: ['ssd']});
+    cell.state.add(createSubmission('a', {taskCount: 9, requiredLabel: 'ssd'}));
+    const workers = cell.pass(0).placements.map(({worker}) => worker.id);
+    expect(new Set(workers)).toEqual(new Set(['right']));
+  });
+
+  // Guards against starts without a ticket, which workers refuse, and against
+  // questions that nobody needs.
+  it('asks for advice and places with a fresh ticket only', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w1');
+    cell.addWorker('w2');
+    const submission = createSubmission('a', {}, {advice: ADVICE});
+    cell.state.add(submission);
+    const first = cell.pass(0);
+    expect(first.placements).toHaveLength(0);
+    expect(first.adviceWishes[0]?.workerIds).toEqual(['w1', 'w2']);
+    const {advice} = submission.stepsOf(0)[0]!;
+    for (const id of ['w1', 'w2']) advice.asked.add(`${id}@1`);
+    advice.tickets.set('w2', {ticket: 't', workerBornAt: 1, validUntil: 1_000});
+    const late = cell.pass(2_000);
+    expect(late.placements).toHaveLength(0);
+    expect(late.adviceWishes[0]?.workerIds).toEqual(['w2']);
+    advice.tickets.set('w2', {ticket: 't', workerBornAt: 1, validUntil: 5_000});
+    const [placement] = cell.pass(2_100).placements;
+    expect(placement).toMatchObject({ticket: 't', worker: {id: 'w2'}});
+  });
+
+  it('does not start a step before the steps it depends on are done', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w');
+    const submission = createSubmission('a');
+    const [step] = submission.specification.steps;
+    submission.specification.steps.push({...step!, dependsOn: [0]});
+    cell.state.add(submission);
+    expect(cell.pass(0).placements).toHaveLength(1);
+    expect(cell.pass(1).placements).toHaveLength(0);
+    const [first] = submission.stepsOf(0);
+    first!.tasks[0]!.phase = 'done';
+    first!.doneCount = 1;
+    expect(cell.pass(2).placements[0]?.step.index).toBe(1);
+  });
+});
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -45,6 +45,10 @@
     const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(step =>
       step.tasks.some(task => isWaiting(task, now)),
     );
+    // From here on a task's waiting time counts.
+    for (const task of ready.flatMap(step => step.tasks)) {
+      if (task.notBefore === 0) task.notBefore = now;
+    }
     const result: SchedulingPass = {
       placements: [],
       adviceWishes: [],
