Keep freed room from lower work only

Ruled out: authority and the log (appends went on), room (it was free). Change: only work of a lower class is kept out, and only while the holder waits.

--- a/packages/cell-scheduler/src/preemption_policy.test.ts
+++ b/packages/cell-scheduler/src/preemption_policy.test.ts
@@ -39,6 +39,21 @@
     expect(placements.map(({step}) => step.submission.id)).toEqual(['urgent']);
   });
 
+  // Guards against a burst of urgent steps that keep each other out: each held
+  // a worker, and nothing started for two seconds (scale-2 of ftmc-routes).
+  it('lets equals use the room, and others once it is not needed', () => {
+    const cell = createFullCell();
+    const urgent = createSubmission('urgent', {}, {priority: 0});
+    cell.state.add(urgent);
+    cell.pass(10);
+    const [victim] = cell.pass(10 + WAITED).preemptions;
+    urgent.stepsOf(0)[0]!.tasks[0]!.notBefore = Infinity;
+    cell.state.add(createSubmission('equal', {}, {priority: 0}));
+    cell.end(victim!);
+    const placements = cell.pass(20 + WAITED).placements;
+    expect(placements.map(({step}) => step.submission.id)).toEqual(['equal']);
+  });
+
   // Guards against services that are taken away for other work.
   it('never stops services, equals or more urgent work', () => {
     const cell = CellFixture.create();
--- a/packages/cell-scheduler/src/worker_choice.ts
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -109,7 +109,9 @@
 ): boolean {
   const holder = worker.heldFor;
   if (!holder || holder === step || worker.heldUntil <= now) return false;
-  return holder.submission.queue.priority <= step.submission.queue.priority;
+  // Equals are served in their order; only lower work is kept out.
+  if (holder.tasks.every(task => task.phase !== 'waiting')) return false;
+  return holder.submission.queue.priority < step.submission.queue.priority;
 }
 
 function countServing(worker: WorkerState): number {
