--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -33,8 +33,12 @@
 /** Turns are blurred by this much, since hosts may know different peers. */
 const TURN_JITTER_MILLISECONDS = 60;
 
-/** An owner whose log is down for this long is replaced if that works. */
-const OWNER_LOG_DOWN_MILLISECONDS = 2_000;
+/**
+ * An owner whose log is down for this long is replaced if that works. It
+ * reaches the store through any peer, so this is longer than usual outages,
+ * after which it goes on by itself.
+ */
+const OWNER_LOG_DOWN_MILLISECONDS = 10_000;
 
 interface OwnerElectionOptions {
   membership: Membership;
