--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,6 +3,10 @@
 import prettier from 'eslint-config-prettier';
 import tseslint from 'typescript-eslint';
 
+/** Paths and fields that are the platform's own. */
+const PLATFORM_NAMES =
+  '/.cardamomfield.(run-st|hold|pace|advise|log-|machine)|memory_request_mb|expires_ms|ack_cursor|fencing_token|cold_remaining_ms|^keyed[.]/';
+
 const FILE_NAME = /^[a-z0-9]+(_[a-z0-9]+)*(\.test)?\.ts$/;
 
 /** Reports files whose name is not lower snake case. */
@@ -105,6 +109,27 @@
       ],
     },
   },
+  {
+    // Only the adapter in platform/ knows the platform's names and paths.
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: `Literal[value=${PLATFORM_NAMES}]`,
+          message: 'Names of the platform belong into platform/.',
+        },
+        {
+          selector: `TemplateElement[value.raw=${PLATFORM_NAMES}]`,
+          message: 'Names of the platform belong into platform/.',
+        },
+        {
+          selector: `Property > Identifier.key[name=${PLATFORM_NAMES}]`,
+          message: 'Names of the platform belong into platform/.',
+        },
+      ],
+    },
+  },
   {
     files: ['scripts/**', '*.mjs', '*.ts'],
     languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -1,4 +1,5 @@
 /** Long random runs: `npm run fuzz -- --seed 1 --runs 1000`. */
+import {setMaxListeners} from 'node:events';
 import fc from 'fast-check';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
@@ -6,6 +7,9 @@
 import {systemOperation} from './system_operation.js';
 import {SystemRun} from './system_run.js';
 
+// Each simulated host listens on shared signals; the count says nothing here.
+setMaxListeners(0);
+
 const MAXIMUM_OPERATIONS = 60;
 const MAXIMUM_SYSTEM_SEED = 1_000_000;
 
@@ -30,6 +34,16 @@
 }
 process.exit(process.exitCode ?? 0);
 
+/** The seed and the shrunk operations of a failed run, one a line. */
+function trace(counterexample: [number, unknown[]] | null): string[] {
+  if (!counterexample) return [];
+  const [systemSeed, operations] = counterexample;
+  return [
+    `system seed ${systemSeed}`,
+    ...operations.map(operation => JSON.stringify(operation)),
+  ];
+}
+
 async function runSystemFuzz(seed: number, runs: number): Promise<void> {
   const result = await fc.check(
     fc.asyncProperty(
@@ -47,5 +61,14 @@
     return;
   }
   process.exitCode = 1;
-  process.stdout.write(`${await fc.asyncDefaultReportMessage(result)}\n`);
+  const {errorInstance, counterexample} = result;
+  const reason =
+    errorInstance instanceof Error ? errorInstance.message : errorInstance;
+  process.stdout.write(
+    [
+      `broken after ${result.numRuns} runs, seed ${seed}: ${String(reason)}`,
+      ...trace(counterexample),
+      '',
+    ].join('\n'),
+  );
 }
