--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
 
 /** Paths and fields that are the platform's own. */
 const PLATFORM_NAMES =
-  '/.cardamomfield.(run-st|hold|pace|advise|log-|machine)|memory_request_mb|expires_ms|ack_cursor|fencing_token|cold_remaining_ms|^keyed[.]/';
+  '/^[^@]cardamomfield.|memory_request_mb|expires_ms|ack_cursor|fencing_token|cold_remaining_ms|^keyed[.]/';
 
 const FILE_NAME = /^[a-z0-9]+(_[a-z0-9]+)*(\.test)?\.ts$/;
 
@@ -131,7 +131,9 @@
     },
   },
   {
-    files: ['scripts/**', '*.mjs', '*.ts'],
-    languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
+    files: ['scripts/**', 'packages/*/bin/*.mjs', '*.mjs', '*.ts'],
+    languageOptions: {
+      globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
+    },
   },
 );
