Stop what a cancelled submission runs on workers seen later

Ruled out: the stop itself (none was sent). Change: a run that a look lists for an ended submission is stopped; an adopted run is not taken for stalled before it was looked at. The new test was red before.

--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -209,7 +209,7 @@
         taskName,
         attempt: run.attempt,
         checkpoint: '',
-        progressPercent: 0,
+        progressPercent: 100,
         load: 0,
       })),
       ends: [...this.ends],
--- a/packages/cell-stand-ins/src/ownership_run.ts
+++ b/packages/cell-stand-ins/src/ownership_run.ts
@@ -1,4 +1,3 @@
-import type {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
 import {
   ManualClock,
   type RandomSource,
@@ -7,30 +6,21 @@
 import type {HostWeakness} from './host_weakness.js';
 import {MemoryCellWorker} from './memory_cell_worker.js';
 import {MemoryShardStore} from './memory_shard_store.js';
+import {createSubmission} from './plain_submission.js';
 import {PromiseLedger} from './promise_ledger.js';
 import {SimulatedOwnerHost} from './simulated_owner_host.js';
 
 const HOST_COUNT = 3;
 const WORKER_COUNT = 4;
 const WORKER_MILLICORES = 4_000;
-const TASK_MILLICORES = 1_500;
 const STEP_COUNT = 120;
 const LONGEST_STEP_MILLISECONDS = 500;
 
 /** After the faults every accepted submission must come to an end in this. */
 const HEALING_MILLISECONDS = 240_000;
 
-const QUEUE: Queue = {
-  name: 'queue',
-  host: 'host',
-  pathPrefix: '/',
-  service: 'service',
-  priority: 1,
-  maximumAttempts: 50,
-  stretchFactor: 1,
-  targetLatencyMilliseconds: 1_000,
-  timeoutMilliseconds: 3_000,
-};
+/** After the faults, tasks of a cancelled submission must be gone in this. */
+const STOP_MILLISECONDS = 3_000;
 
 interface OwnershipRunResult {
   broken: string[];
@@ -52,6 +42,7 @@
   private readonly hosts: SimulatedOwnerHost[] = [];
   private readonly random: RandomSource;
   private readonly accepted = new Set<string>();
+  private readonly cancelled = new Set<string>();
   private submitted = 0;
   private highestEpoch = 0;
 
@@ -67,7 +58,7 @@
           this.base,
           this.random,
           this.ledger,
-          () => TASK_MILLICORES,
+          () => createSubmission().milliCores,
           weakness.longestLeaseMilliseconds,
         ),
       );
@@ -146,6 +137,7 @@
         this.store.isDown = this.random.fraction() < 0.3;
       },
       () => host.heal(),
+      () => this.cancel(),
     ];
     this.pick(actions)();
   }
@@ -162,39 +154,21 @@
     if (!owner) return;
     const id = this.submitted.toString(16).padStart(16, '0');
     this.submitted++;
-    void owner.submit(id, QUEUE, this.specification()).then(result => {
+    const {queue, specification} = createSubmission(
+      1 + this.random.integerBelow(3),
+    );
+    void owner.submit(id, queue, specification).then(result => {
       if (result.isRight()) this.accepted.add(id);
     });
   }
 
-  private specification(): SubmissionSpecification {
-    const step = {
-      taskCount: 1 + this.random.integerBelow(3),
-      milliCores: TASK_MILLICORES,
-      memoryMegabytes: 1,
-      accelerators: 0,
-      estimatedMilliseconds: 1_000,
-      dependsOn: [] as number[],
-      isGang: false,
-      isTightlyCoupled: false,
-      requiredLabel: '',
-      dataRack: '',
-      maximumPerWorker: 0,
-      savesCheckpoints: false,
-      allowsCopies: false,
-      isService: false,
-      image: '',
-      tailTargetMilliseconds: 0,
-      usesSpareCapacity: false,
-      maximumUnavailable: 0,
-    };
-    return {
-      payload: 'payload',
-      steps: [step, {...step, dependsOn: [0]}],
-      occurrenceCount: 0,
-      firstOccurrenceAtUnixMilliseconds: 0,
-      occurrenceIntervalMilliseconds: 0,
-    };
+  private cancel(): void {
+    const owner = this.hosts.find(host => host.owner)?.owner;
+    if (!owner || this.accepted.size === 0) return;
+    const id = this.pick([...this.accepted]);
+    void owner.cancel(id).then(result => {
+      if (result.isRight()) this.cancelled.add(id);
+    });
   }
 
   /** Ends all faults and waits for the accepted submissions. */
@@ -211,11 +185,17 @@
         this.highestEpoch++;
         continue;
       }
-      completed = [...this.accepted].filter(
-        id => owner.show(id).extract() === 'completed',
+      completed = [...this.accepted].filter(id =>
+        hasEnded(owner.show(id).extract()),
       ).length;
       if (completed === this.accepted.size) break;
     }
+    await this.advance(STOP_MILLISECONDS);
+    for (const name of this.ledger.runningTasks()) {
+      const [id = ''] = name.split('.');
+      if (!this.cancelled.has(id)) continue;
+      this.ledger.broken.push(`${name} runs on after its cancelling`);
+    }
     if (completed < this.accepted.size) {
       this.ledger.broken.push(
         `${this.accepted.size - completed} accepted submissions did not end`,
@@ -228,3 +208,7 @@
     return items[this.random.integerBelow(items.length)]!;
   }
 }
+
+function hasEnded(state: unknown): boolean {
+  return state === 'completed' || state === 'cancelled';
+}
--- a/packages/cell-stand-ins/src/promise_ledger.ts
+++ b/packages/cell-stand-ins/src/promise_ledger.ts
@@ -31,6 +31,16 @@
     this.running.get(taskName)?.delete(workerName);
   }
 
+  /** True while the task runs on any worker. */
+  isRunning(taskName: string): boolean {
+    return (this.running.get(taskName)?.size ?? 0) > 0;
+  }
+
+  /** The tasks that run now. */
+  runningTasks(): string[] {
+    return [...this.running.keys()].filter(name => this.isRunning(name));
+  }
+
   /** The owner took note of an end as done. */
   acknowledgedDone(taskName: string): void {
     this.done.add(taskName);
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -10,6 +10,9 @@
 import {MemoryShardLog} from './memory_shard_log.js';
 import type {MemoryShardStore} from './memory_shard_store.js';
 
+/** A new owner has its first list of workers within this. */
+const FIRST_LIST_MILLISECONDS = 1_500;
+
 /** How often a host reads the list of workers. */
 const DIRECTORY_MILLISECONDS = 250;
 
@@ -128,6 +131,8 @@
     onChange: (id: string, worker: WorkerDescription | undefined) => void,
     signal: AbortSignal,
   ): Promise<void> {
+    const delay = this.options.random.integerBelow(FIRST_LIST_MILLISECONDS);
+    await this.clock.sleepUntil(this.clock.monotonicNow() + delay, signal);
     while (!signal.aborted) {
       for (const [id, worker] of this.options.workers) {
         if (worker.isUp) onChange(id, worker.describe());
--- a/packages/shard-owner/src/run_book.ts
+++ b/packages/shard-owner/src/run_book.ts
@@ -129,7 +129,13 @@
 
   /** Books a run that an earlier owner placed; its worker decides its fate. */
   adopt(step: StepState, task: TaskState): Run {
-    const run = createRun(step, task, task.workerId, '', -Infinity);
+    const run = createRun(
+      step,
+      task,
+      task.workerId,
+      '',
+      this.options.clock.monotonicNow(),
+    );
     run.phase = 'running';
     run.runningSince = -Infinity;
     task.run = run;
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -462,6 +462,9 @@
       if (run && run.attempt === row.attempt) {
         listed.add(row.taskName);
         this.update(run, row, now);
+        // A run taken over may belong to work that was ended before its worker
+        // was looked at.
+        if (run.step.submission.ending) this.stopRun(run);
       } else {
         this.hasForeignRuns = true;
         void this.link.stop(
