--- /dev/null
+++ b/packages/shard-owner/src/admission.ts
@@ -0,0 +1,28 @@
+import type {SubmissionRecord} from '@cardamomfield/cell-scheduler';
+import type {TypedError} from '@cardamomfield/errors';
+import {type Either, Left} from 'purify-ts';
+
+/** A submission whose record is on its way to the log. */
+export class Admission {
+  /** The first of both: the record is durable, or the owner refused. */
+  readonly outcome: Promise<Either<TypedError, void>>;
+  private readonly refusal: Promise<Either<TypedError, void>>;
+  refuse: (error: TypedError) => void = () => undefined;
+
+  private constructor(
+    readonly submission: SubmissionRecord,
+    committed: Promise<Either<TypedError, void>>,
+  ) {
+    this.refusal = new Promise(resolve => {
+      this.refuse = error => resolve(Left(error));
+    });
+    this.outcome = Promise.race([committed, this.refusal]);
+  }
+
+  static create(
+    submission: SubmissionRecord,
+    committed: Promise<Either<TypedError, void>>,
+  ): Admission {
+    return new Admission(submission, committed);
+  }
+}
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -63,7 +63,7 @@
   private openBatch = 1;
   private provedAt: number;
   private failingSince: number | undefined;
-  /** Monotonic time at which the append in flight was first sent. */
+  /** Monotonic time at which the call in flight was first sent. */
   private pendingSince: number | undefined;
   private clockDifference: number;
   private isStopped = false;
@@ -92,6 +92,14 @@
     this.wakeUp.notify();
   }
 
+  /**
+   * Takes back the mark of a key whose value was never sent to the log. False
+   * when it was, so that the value may be durable now or later.
+   */
+  withdraw(key: string): boolean {
+    return this.changed.delete(key);
+  }
+
   /** Resolves once everything marked so far is durable. */
   commit(): Promise<Either<TypedError, void>> {
     if (this.isStopped) return Promise.resolve(Left(lostError()));
@@ -120,7 +128,7 @@
     return this.logDownMilliseconds > LOG_DOWN_MILLISECONDS;
   }
 
-  /** How long the present append has been without success; 0 when idle. */
+  /** How long the present call has been without success; 0 when idle. */
   get logDownMilliseconds(): number {
     if (this.pendingSince === undefined) return 0;
     return this.options.clock.monotonicNow() - this.pendingSince;
@@ -141,6 +149,9 @@
       if (this.changed.size === 0) {
         this.resolveWaiters(this.openBatch - 1, Right(undefined));
         await this.proveWhenIdle();
+      } else if (this.isLogFailing()) {
+        // Changes stay here until the log answers, so that none is in doubt.
+        await this.prove();
       } else {
         await this.appendChanges();
       }
@@ -155,14 +166,20 @@
   }
 
   private async proveWhenIdle(): Promise<void> {
-    const {clock, log} = this.options;
+    const {clock} = this.options;
     const dueAt = this.provedAt + IDLE_PROOF_MILLISECONDS;
     await this.wakeUp.wait(dueAt);
     if (this.isStopped || this.changed.size > 0) return;
+    if (clock.monotonicNow() >= dueAt) await this.prove();
+  }
+
+  private async prove(): Promise<void> {
+    const {clock, log} = this.options;
     const sentAt = clock.monotonicNow();
-    if (sentAt < dueAt) return;
+    // Without an answer to the proof, changes made meanwhile wait as well.
+    this.pendingSince ??= sentAt;
     const result = await log.confirmEpoch(this.options.epoch);
-    await this.settle(result, sentAt);
+    if (await this.settle(result, sentAt)) this.pendingSince = undefined;
   }
 
   private async appendChanges(): Promise<void> {
@@ -177,7 +194,7 @@
   }
 
   private async appendChunk(records: ShardRecord[]): Promise<void> {
-    this.pendingSince = this.options.clock.monotonicNow();
+    this.pendingSince ??= this.options.clock.monotonicNow();
     while (!this.isStopped) {
       const sentAt = this.options.clock.monotonicNow();
       const result = await this.options.log.append(
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -27,6 +27,7 @@
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
 import {type Either, Left, Right} from 'purify-ts';
+import {Admission} from './admission.js';
 import type {AdviceChannel} from './advice_channel.js';
 import {AdviceDesk} from './advice_desk.js';
 import type {OwnerTiming} from './owner_timing.js';
@@ -74,6 +75,8 @@
   private readonly scheduler: Scheduler;
   private readonly desk: AdviceDesk;
   private readonly sessions = new Map<string, WorkerSession>();
+  /** Submissions whose record is not durable yet. */
+  private readonly admissions = new Map<string, Admission>();
   /** Runs of workers that the directory does not list yet, by worker. */
   private readonly stranded = new Map<string, Run[]>();
   private readonly wakeUp: Notifier;
@@ -164,21 +167,19 @@
   ): Promise<Either<TypedError, void>> {
     const known = this.state.submissions.get(id);
     if (known?.isAccepted) return Right(undefined);
-    if (known) return this.journal.commit();
-    if (this.journal.isLogDown()) {
-      return Left(
-        UnavailableError.create('the shard log takes no appends', {
-          retryAfterMilliseconds: this.retryAfterMilliseconds(),
-        }),
-      );
-    }
+    const pending = this.admissions.get(id);
+    if (pending) return pending.outcome;
+    if (this.journal.isLogDown()) return Left(this.logDownError());
     const now = this.options.clock.wallNow();
     const submission = SubmissionRecord.create(id, queue, specification, now);
     this.state.add(submission);
     this.journal.mark(RecordCodec.submissionKey(id));
     this.noteChange();
-    const committed = await this.journal.commit();
-    if (committed.isLeft()) return committed;
+    const admission = Admission.create(submission, this.journal.commit());
+    this.admissions.set(id, admission);
+    const outcome = await admission.outcome;
+    this.admissions.delete(id);
+    if (outcome.isLeft()) return outcome;
     submission.isAccepted = true;
     this.options.metrics.increment('submissions_accepted');
     this.options.logger.info('submission accepted', {
@@ -186,7 +187,7 @@
       queue: queue.name,
       steps: specification.steps.map(step => step.taskCount),
     });
-    return committed;
+    return outcome;
   }
 
   /** The state of a submission, or `NotFoundError`. */
@@ -210,6 +211,31 @@
     return this.state.countPending(queueName);
   }
 
+  /**
+   * Refuses submissions that were never sent to a log that takes no appends.
+   * Nothing of them was ordered, since orders follow their intents.
+   */
+  private refuseUnsent(): void {
+    for (const [id, {submission, refuse}] of this.admissions) {
+      const key = RecordCodec.submissionKey(id);
+      if (!this.journal.withdraw(key)) continue;
+      this.admissions.delete(id);
+      for (const step of submission.occurrences.flat()) {
+        this.book.stopRuns(step);
+      }
+      this.state.remove(submission);
+      this.options.metrics.increment('submissions_withdrawn');
+      this.options.logger.info('submission withdrawn', {submission: id});
+      refuse(this.logDownError());
+    }
+  }
+
+  private logDownError(): TypedError {
+    return UnavailableError.create('the shard log takes no appends', {
+      retryAfterMilliseconds: this.retryAfterMilliseconds(),
+    });
+  }
+
   /** An outage is expected to last as long again as it has lasted. */
   private retryAfterMilliseconds(): number {
     return Math.min(
@@ -294,6 +320,7 @@
       }
     }
     if (now > this.earlierLeasesEndAt) this.giveUpStranded();
+    if (this.journal.isLogDown()) this.refuseUnsent();
     this.forgetEnded(clock.wallNow());
   }
 
