--- a/packages/cell-model/src/shard_log.ts
+++ b/packages/cell-model/src/shard_log.ts
@@ -11,7 +11,9 @@
    * Appends all records or none. `ConflictError` means that another owner has
    * a higher epoch; `UnavailableError` that nothing was appended;
    * `UncertainError` that the records may be appended now or later. The same
-   * call may be repeated with the same sequence number.
+   * call may be repeated with the same sequence number. Up to four calls may
+   * be under way; one that overtook another fails with `UnavailableError` and
+   * the detail `isOutOfOrder`.
    */
   append(
     records: ShardRecord[],
--- a/packages/cell-stand-ins/src/memory_shard_log.ts
+++ b/packages/cell-stand-ins/src/memory_shard_log.ts
@@ -23,6 +23,8 @@
 export class MemoryShardLog implements ShardLog {
   /** The host cannot reach the store. */
   isCut = false;
+  /** Time until the answer to an append arrives. */
+  answerMilliseconds = 0;
   /** Share of appends whose answer is lost. */
   lostShare = 0;
 
@@ -58,8 +60,15 @@
     const failure = await this.reach();
     if (failure) return Left(failure);
     const result = this.store.append(records, epoch, sequence);
-    await this.clock.running();
+    await this.pass(this.answerMilliseconds);
     if (result === 'appended') return Right(undefined);
+    if (result === 'out-of-order') {
+      return Left(
+        UnavailableError.create('an earlier append is missing', {
+          isOutOfOrder: true,
+        }),
+      );
+    }
     return Left(ConflictError.create('a higher epoch was seen'));
   }
 
--- a/packages/cell-stand-ins/src/memory_shard_store.ts
+++ b/packages/cell-stand-ins/src/memory_shard_store.ts
@@ -1,7 +1,10 @@
 import type {ShardRecord} from '@cardamomfield/cell-model';
 
 /** How an append ended at the store. */
-type AppendResult = 'appended' | 'fenced';
+type AppendResult = 'appended' | 'fenced' | 'out-of-order';
+
+/** Repeats of this many newest appends are recognised. */
+const REPEAT_WINDOW = 5;
 
 /** The store's side of a shard's log: newest records, epoch and sequence. */
 export class MemoryShardStore {
@@ -24,8 +27,10 @@
   ): AppendResult {
     if (epoch < this.epoch) return 'fenced';
     if (epoch === this.epoch) {
-      if (sequence === this.lastSequence) return 'appended';
-      if (sequence !== this.lastSequence + 1) return 'fenced';
+      const ahead = sequence - this.lastSequence;
+      if (ahead <= 0 && ahead > -REPEAT_WINDOW) return 'appended';
+      if (ahead > 1 && ahead <= REPEAT_WINDOW) return 'out-of-order';
+      if (ahead !== 1) return 'fenced';
     }
     this.epoch = epoch;
     this.lastSequence = sequence;
--- a/packages/cell-stand-ins/src/ownership_run.ts
+++ b/packages/cell-stand-ins/src/ownership_run.ts
@@ -13,6 +13,9 @@
 const HOST_COUNT = 3;
 const WORKER_COUNT = 4;
 const WORKER_MILLICORES = 4_000;
+/** A slow store answers after this time. */
+const SLOW_ANSWER_MILLISECONDS = 300;
+
 const STEP_COUNT = 120;
 const LONGEST_STEP_MILLISECONDS = 500;
 
@@ -129,6 +132,10 @@
       () => {
         host.log.lostShare = host.log.lostShare > 0 ? 0 : 0.3;
       },
+      () => {
+        host.log.answerMilliseconds =
+          host.log.answerMilliseconds > 0 ? 0 : SLOW_ANSWER_MILLISECONDS;
+      },
       () => host.clock.freeze(),
       () => host.clock.unfreeze(),
       () => host.clock.unfreeze(),
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -106,6 +106,7 @@
     this.clock.unfreeze();
     this.log.isCut = false;
     this.log.lostShare = 0;
+    this.log.answerMilliseconds = 0;
     for (const fault of this.faults.values()) {
       fault.isCut = false;
       fault.lateShare = 0;
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -31,6 +31,29 @@
 /** An append without success for this long means that the log is down. */
 const LOG_DOWN_MILLISECONDS = 600;
 
+/** Changes are sent beside an append that has taken this long. */
+const OVERLAP_MILLISECONDS = 40;
+
+/** A call is unusually slow once it takes this many times the last one. */
+const USUAL_FACTOR = 1.5;
+
+/** Appends in flight; the log recognises repeats of the last five. */
+const MAXIMUM_FLIGHTS = 4;
+
+/** Pause of an append that overtook the one before it. */
+const REORDER_PAUSE_MILLISECONDS = 10;
+
+/** One append that has not succeeded yet. */
+interface Flight {
+  records: ShardRecord[];
+  sequence: number;
+  /** Monotonic time at which it was first sent. */
+  sentAt: number;
+  isDone: boolean;
+  /** Everything up to this batch is durable once the append succeeds. */
+  completedBatch: number;
+}
+
 interface Waiter {
   batch: number;
   resolve: (result: Either<TypedError, void>) => void;
@@ -52,19 +75,24 @@
 }
 
 /**
- * Writes the newest values of changed keys to the shard's log, one append at a
- * time; what changes meanwhile goes into the next append. Successful appends
- * prove that no other owner has a higher epoch.
+ * Writes the newest values of changed keys to the shard's log. What changes
+ * during an append goes into the next one; while the log is slow, a few appends
+ * are in flight, which the log takes in their order. Successful appends prove
+ * that no other owner has a higher epoch.
  */
 export class ShardJournal {
   private changed = new Set<string>();
   private waiters: Waiter[] = [];
+  /** Appends without success so far, oldest first. */
+  private readonly flights: Flight[] = [];
   /** Number of the batch that changes marked now will be part of. */
   private openBatch = 1;
   private provedAt: number;
   private failingSince: number | undefined;
   /** Monotonic time at which the call in flight was first sent. */
   private pendingSince: number | undefined;
+  /** How long the last call that succeeded took. */
+  private answerMilliseconds = 0;
   private clockDifference: number;
   private isStopped = false;
   private freezes = 0;
@@ -143,17 +171,19 @@
     return PROOF_VALID_MILLISECONDS;
   }
 
-  /** Appends until stopped; one append is in flight at a time. */
+  /** Appends until stopped. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      if (this.changed.size === 0) {
+      if (this.flights.length > 0) {
+        await this.overlap();
+      } else if (this.changed.size === 0) {
         this.resolveWaiters(this.openBatch - 1, Right(undefined));
         await this.proveWhenIdle();
       } else if (this.isLogFailing()) {
         // Changes stay here until the log answers, so that none is in doubt.
         await this.prove();
       } else {
-        await this.appendChanges();
+        this.sendChanges();
       }
     }
   }
@@ -182,30 +212,83 @@
     if (await this.settle(result, sentAt)) this.pendingSince = undefined;
   }
 
-  private async appendChanges(): Promise<void> {
-    const batch = this.openBatch;
+  /** Sends changes beside an append that takes long. */
+  private async overlap(): Promise<void> {
+    const newest = this.flights.at(-1);
+    if (!newest || this.changed.size === 0 || !this.mayOverlap()) {
+      await this.wakeUp.wait();
+      return;
+    }
+    const dueAt = newest.sentAt + OVERLAP_MILLISECONDS;
+    if (this.options.clock.monotonicNow() >= dueAt) this.sendChanges();
+    else await this.wakeUp.wait(dueAt);
+  }
+
+  /**
+   * True while the log is slow but answers. What is sent into an outage is in
+   * doubt, so nothing is sent beside a call that takes longer than usual.
+   */
+  private mayOverlap(): boolean {
+    if (this.isLogFailing() || this.flights.length >= MAXIMUM_FLIGHTS) {
+      return false;
+    }
+    return (
+      this.answerMilliseconds >= OVERLAP_MILLISECONDS &&
+      this.logDownMilliseconds < this.answerMilliseconds * USUAL_FACTOR
+    );
+  }
+
+  private sendChanges(): void {
     const chunks = this.takeChunks();
-    this.openBatch++;
-    for (const records of chunks) {
-      await this.appendChunk(records);
-      if (this.isStopped) return;
+    const batch = this.openBatch++;
+    for (const [index, records] of chunks.entries()) {
+      const flight: Flight = {
+        records,
+        sequence: this.nextSequence++,
+        sentAt: this.options.clock.monotonicNow(),
+        isDone: false,
+        completedBatch: index === chunks.length - 1 ? batch : batch - 1,
+      };
+      this.flights.push(flight);
+      this.pendingSince ??= flight.sentAt;
+      void this.append(flight);
     }
-    this.resolveWaiters(batch, Right(undefined));
   }
 
-  private async appendChunk(records: ShardRecord[]): Promise<void> {
-    this.pendingSince ??= this.options.clock.monotonicNow();
-    while (!this.isStopped) {
+  /** Repeats an append until it or a later one has succeeded. */
+  private async append(flight: Flight): Promise<void> {
+    while (!flight.isDone && !this.isStopped) {
+      // The log takes appends in their order: the oldest one is repeated first.
+      if (this.isLogFailing() && this.flights[0] !== flight) {
+        await this.wakeUp.wait();
+        continue;
+      }
       const sentAt = this.options.clock.monotonicNow();
       const result = await this.options.log.append(
-        records,
+        flight.records,
         this.options.epoch,
-        this.nextSequence,
+        flight.sequence,
       );
-      if (await this.settle(result, sentAt)) break;
+      if (flight.isDone || this.isStopped) return;
+      if (isOutOfOrder(result)) {
+        await this.options.clock.sleepUntil(
+          this.options.clock.monotonicNow() + REORDER_PAUSE_MILLISECONDS,
+        );
+      } else if (await this.settle(result, sentAt)) {
+        this.land(flight);
+      }
     }
-    this.pendingSince = undefined;
-    this.nextSequence++;
+  }
+
+  /** An append that succeeded proves that those before it have too. */
+  private land(landed: Flight): void {
+    const index = this.flights.indexOf(landed);
+    for (const flight of this.flights.splice(0, index + 1)) {
+      flight.isDone = true;
+    }
+    this.pendingSince = this.flights[0]?.sentAt;
+    this.resolveWaiters(landed.completedBatch, Right(undefined));
+    this.wakeUp.notify();
   }
 
   /** All changed records, split so that each part fits one append. */
@@ -238,6 +321,7 @@
     });
     if (result.isRight()) {
       this.provedAt = Math.max(this.provedAt, sentAt);
+      this.answerMilliseconds = clock.monotonicNow() - sentAt;
       this.clockDifference = this.readClockDifference();
       if (this.failingSince !== undefined) {
         const milliseconds = Math.round(
@@ -294,6 +378,11 @@
   }
 }
 
+function isOutOfOrder(result: Either<TypedError, void>): boolean {
+  if (result.isRight()) return false;
+  return (result.extract() as TypedError).details.isOutOfOrder === true;
+}
+
 function lostError(): TypedError {
   return CancelledError.create('this host does not own the shard any more');
 }
