Ask for advice ahead of need and name fewer workers

Change: a step is asked for once the steps before it are expected to end within half of a ticket's life, by the progress of their runs. A question names the workers with most room, as many as the waiting tasks need if 0.3 of them are approved, and 20 without room when room is short. Planning of questions moves to AdvicePlanner, counting of room to WorkerChoice.

--- /dev/null
+++ b/packages/cell-scheduler/src/advice_planner.test.ts
@@ -0,0 +1,68 @@
+import {describe, expect, it} from 'vitest';
+import {CellFixture} from './cell_fixture.js';
+import {createSubmission} from './step_fixture.js';
+
+const ADVICE = {
+  decisionMilliseconds: 430,
+  perWorkerMilliseconds: 6,
+  validMilliseconds: 2_500,
+};
+
+describe('AdvicePlanner', () => {
+  // Load: many small steps at once on a large cell. Guards against questions
+  // that name every worker: the service takes longer for each one named.
+  it('names about as many workers as the tasks need', () => {
+    const cell = CellFixture.create();
+    for (let index = 0; index < 200; index++) cell.addWorker(`w${index}`);
+    cell.state.add(createSubmission('a', {taskCount: 8}, {advice: ADVICE}));
+    const [wish] = cell.pass(0).adviceWishes;
+    expect(wish?.workerIds.length).toBeGreaterThanOrEqual(8);
+    expect(wish?.workerIds.length).toBeLessThanOrEqual(16);
+  });
+
+  // Guards against questions about workers that cannot take the task.
+  it('names the workers with room first', () => {
+    const cell = CellFixture.create();
+    for (let index = 0; index < 60; index++) {
+      cell.addWorker(`full${index}`, {milliCores: 500});
+    }
+    for (let index = 0; index < 30; index++) cell.addWorker(`w${index}`);
+    cell.state.add(createSubmission('a', {taskCount: 4}, {advice: ADVICE}));
+    const [wish] = cell.pass(0).adviceWishes;
+    expect(wish?.workerIds.every(id => id.startsWith('w'))).toBe(true);
+  });
+
+  // Load: submissions of several short steps while answers of the advice
+  // service take long. Guards against a step that waits for advice when its
+  // turn has come.
+  it('asks for a step shortly before its turn', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w', {milliCores: 8_000});
+    const submission = createSubmission(
+      'a',
+      {estimatedMilliseconds: 4_000},
+      {advice: ADVICE},
+    );
+    const [step] = submission.specification.steps;
+    submission.specification.steps.push({...step!, dependsOn: [0]});
+    cell.state.add(submission);
+    const [first, second] = submission.stepsOf(0);
+    first!.advice.asked.add('w@1');
+    first!.advice.tickets.set('w', {
+      ticket: 't',
+      workerBornAt: 1,
+      validUntil: 9_000,
+    });
+    expect(cell.pass(0).placements).toHaveLength(1);
+    const {run} = first!.tasks[0]!;
+    run!.progressPercent = 25;
+    run!.progressedAt = 1_000;
+    expect(cell.pass(1_000).adviceWishes).toEqual([]);
+    run!.progressPercent = 75;
+    run!.progressedAt = 3_000;
+    expect(cell.pass(3_000).adviceWishes[0]?.step).toBe(second);
+    // One question ahead is enough; the answer does not change.
+    second!.advice.asked.add('w@1');
+    expect(cell.pass(3_100).adviceWishes).toEqual([]);
+  });
+});
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -1,4 +1,5 @@
-import type {AdviceWish} from './advice_wish.js';
+import {AdvicePlanner} from './advice_planner.js';
+import {isFresh} from './is_fresh.js';
 import type {Placement} from './placement.js';
 import {PreemptionPolicy} from './preemption_policy.js';
 import type {SchedulingPass} from './scheduling_pass.js';
@@ -9,12 +10,6 @@
 import type {WorkerChoice} from './worker_choice.js';
 import type {WorkerState} from './worker_state.js';
 
-/** Most workers that one question to the advice service may name. */
-const MAXIMUM_ADVISED_WORKERS = 100;
-
-/** A ticket is used only while it has at least this long to live. */
-const TICKET_MARGIN_MILLISECONDS = 150;
-
 /** Decides which waiting tasks start where. */
 export class Scheduler {
   private constructor(
@@ -22,6 +17,7 @@
     private readonly order: WaitingOrder,
     private readonly choice: WorkerChoice,
     private readonly preemption: PreemptionPolicy,
+    private readonly advice: AdvicePlanner,
   ) {}
 
   static create(
@@ -30,7 +26,8 @@
     choice: WorkerChoice,
   ): Scheduler {
     const preemption = PreemptionPolicy.create(choice);
-    return new Scheduler(state, order, choice, preemption);
+    const advice = AdvicePlanner.create(choice);
+    return new Scheduler(state, order, choice, preemption, advice);
   }
 
   /**
@@ -57,6 +54,7 @@
     for (const step of this.order.sort(ready, nowUnixMilliseconds)) {
       this.placeStep(step, now, result, place);
     }
+    this.askAhead(now, nowUnixMilliseconds, result);
     return result;
   }
 
@@ -87,10 +85,35 @@
       ),
     );
     if (!needsAdvice) return;
-    const wish = this.wishFor(step, now);
+    const stillWaiting = waiting.length - placed.length;
+    const wish = this.advice.wishFor(
+      step,
+      stillWaiting,
+      this.serviceWorkers(step),
+      now,
+    );
     if (wish) result.adviceWishes.push(wish);
   }
 
+  /** Questions for steps whose turn comes soon; an answer takes a while. */
+  private askAhead(
+    now: number,
+    nowUnixMilliseconds: number,
+    result: SchedulingPass,
+  ): void {
+    for (const step of this.state.upcomingSteps(nowUnixMilliseconds)) {
+      if (!step.submission.queue.advice) continue;
+      if (!this.advice.isDueAhead(step, now)) continue;
+      const wish = this.advice.wishFor(
+        step,
+        step.tasks.length,
+        this.serviceWorkers(step),
+        now,
+      );
+      if (wish) result.adviceWishes.push(wish);
+    }
+  }
+
   private placeSeparately(
     step: StepState,
     waiting: TaskState[],
@@ -121,7 +144,6 @@
     now: number,
   ): Placement[] {
     if (waiting.length !== step.tasks.length) return [];
-    const {specification} = step;
     const members: Placement[] = [];
     const remaining = [...waiting];
     const candidates = workers
@@ -129,13 +151,7 @@
       .sort((a, b) => b.freeMilliCores - a.freeMilliCores);
     for (const worker of candidates) {
       const room = Math.min(
-        fitCount(
-          worker.freeMilliCores,
-          specification.usesSpareCapacity ? 0 : specification.milliCores,
-        ),
-        fitCount(worker.freeMemoryMegabytes, specification.memoryMegabytes),
-        fitCount(worker.freeAccelerators, specification.accelerators),
-        specification.maximumPerWorker || Infinity,
+        this.choice.fitCount(step, worker),
         remaining.length,
       );
       for (let count = 0; count < room; count++) {
@@ -184,52 +200,12 @@
     for (const [id, ticket] of step.advice.tickets) {
       const worker = this.state.workers.get(id);
       if (!worker) continue;
-      if (worker.description.bornAtUnixMilliseconds !== ticket.workerBornAt) {
-        continue;
-      }
-      if (ticket.validUntil - TICKET_MARGIN_MILLISECONDS > now) {
-        workers.push(worker);
-      }
+      if (isFresh(ticket, worker, now)) workers.push(worker);
     }
     return workers;
   }
-
-  /** The question to ask for a step that still has waiting tasks. */
-  private wishFor(step: StepState, now: number): AdviceWish | undefined {
-    const {advice} = step;
-    if (advice.isAsking || advice.notBefore > now) return undefined;
-    const named: string[] = [];
-    let hasRoom = false;
-    for (const worker of this.serviceWorkers(step)) {
-      if (worker.description.state !== 'ready') continue;
-      if (!this.choice.hasLabel(step, worker)) continue;
-      const isNew = !advice.asked.has(askedKey(worker));
-      const ticket = advice.tickets.get(worker.id);
-      if (!isNew && !ticket) continue;
-      const isFresh =
-        ticket !== undefined &&
-        ticket.workerBornAt === worker.description.bornAtUnixMilliseconds &&
-        ticket.validUntil - TICKET_MARGIN_MILLISECONDS > now;
-      const isHeld = worker.heldFor === step && worker.heldUntil > now;
-      const mayFit = isHeld || this.choice.hasRoom(step, worker);
-      if (!isFresh && worker.isUsable && mayFit) hasRoom = true;
-      named.push(worker.id);
-    }
-    if (named.length === 0) return undefined;
-    const isFirst = advice.asked.size === 0;
-    if (!isFirst && !hasRoom) return undefined;
-    return {step, workerIds: named.slice(0, MAXIMUM_ADVISED_WORKERS)};
-  }
 }
 
 function isWaiting(task: TaskState, now: number): boolean {
   return task.phase === 'waiting' && task.notBefore <= now;
 }
-
-function fitCount(free: number, need: number): number {
-  return need === 0 ? Infinity : Math.floor(free / need);
-}
-
-function askedKey(worker: WorkerState): string {
-  return `${worker.id}@${worker.description.bornAtUnixMilliseconds}`;
-}
--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -50,6 +50,17 @@
     }
   }
 
+  /** Steps that wait only for steps whose tasks all run or are done. */
+  *upcomingSteps(nowUnixMilliseconds: number): Iterable<StepState> {
+    for (const submission of this.open) {
+      if (submission.ending) continue;
+      for (let k = 0; k < submission.occurrenceCount; k++) {
+        if (submission.dueAt(k) > nowUnixMilliseconds) break;
+        yield* upcomingStepsOf(submission.stepsOf(k));
+      }
+    }
+  }
+
   /** The state that callers see. */
   describe(submission: SubmissionRecord): SubmissionState {
     if (submission.ending) return submission.ending;
@@ -121,3 +132,14 @@
     if (dependsOn.every(index => steps[index]?.isDone)) yield step;
   }
 }
+
+function* upcomingStepsOf(steps: StepState[]): Iterable<StepState> {
+  for (const step of steps) {
+    const open = step.specification.dependsOn.filter(
+      index => !steps[index]?.isDone,
+    );
+    if (open.length > 0 && open.every(index => steps[index]?.isUnderWay)) {
+      yield step;
+    }
+  }
+}
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -47,6 +47,11 @@
     return this.doneCount === this.tasks.length;
   }
 
+  /** True when every task runs or is done. */
+  get isUnderWay(): boolean {
+    return this.tasks.every(task => task.phase !== 'waiting');
+  }
+
   /** Number of tasks placed on the given worker. */
   countOn(workerId: string): number {
     let count = 0;
--- a/packages/cell-scheduler/src/worker_choice.ts
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -50,14 +50,20 @@
   }
 
   hasRoom(step: StepState, worker: WorkerState): boolean {
+    return this.fitCount(step, worker) > 0;
+  }
+
+  /** How many tasks of the step fit beside what the worker has. */
+  fitCount(step: StepState, worker: WorkerState): number {
     const {specification} = step;
-    const milliCores = specification.usesSpareCapacity
-      ? 0
-      : specification.milliCores;
-    return (
-      worker.freeMilliCores >= milliCores &&
-      worker.freeMemoryMegabytes >= specification.memoryMegabytes &&
-      worker.freeAccelerators >= specification.accelerators
+    return Math.min(
+      countFits(
+        worker.freeMilliCores,
+        specification.usesSpareCapacity ? 0 : specification.milliCores,
+      ),
+      countFits(worker.freeMemoryMegabytes, specification.memoryMegabytes),
+      countFits(worker.freeAccelerators, specification.accelerators),
+      specification.maximumPerWorker || Infinity,
     );
   }
 
@@ -103,6 +109,11 @@
   }
 }
 
+function countFits(free: number, need: number): number {
+  if (need === 0) return free >= 0 ? Infinity : 0;
+  return Math.max(0, Math.floor(free / need));
+}
+
 function isHeldForOther(
   step: StepState,
   worker: WorkerState,
