Keep one record of an ended submission; claim sooner after a start of all

Change: an ended submission leaves one record with its ending; the others are removed in the same append or a later one, never an earlier one. A restored record of an ended submission is removed. An owner that a host only read or was told of is not taken for alive, and a new host asks owner and peers at once.

Ruled out: start of the process (0.3 to 0.6 s after the power, not changed).

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -113,7 +113,7 @@
       ports.hosts.follow(
         {
           onHost: host => this.membership.takeHost(host),
-          onOwner: owner => this.membership.takeOwner(owner),
+          onOwner: owner => this.membership.takeOwner(owner, 'hint'),
         },
         signal,
       ),
@@ -226,7 +226,7 @@
     if (result.isLeft()) return;
     const {hosts, owner, desiredState} = result.unsafeCoerce();
     for (const host of hosts) this.membership.takeHost(host);
-    if (owner) this.membership.takeOwner(owner);
+    if (owner) this.membership.takeOwner(owner, 'hint');
     if (desiredState) this.desiredState.take(desiredState);
   }
 
@@ -314,7 +314,7 @@
     );
     server.handle(PeerMethod.introduce, PeerMessages.introduce, async call => {
       this.membership.takeHost(call.host);
-      if (call.owner) this.membership.takeOwner(call.owner);
+      if (call.owner) this.membership.takeOwner(call.owner, 'news');
       return Right({
         hosts: [this.membership.self, ...this.membership.peers()],
         owner: this.membership.owner,
--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -10,7 +10,7 @@
   private readonly hosts = new Map<string, HostRecord>();
   private readonly silentUntil = new Map<string, number>();
   private newestOwner: OwnerRecord | undefined;
-  /** Monotonic time at which the owner last answered. */
+  /** Monotonic time at which the owner last answered; -Infinity if never. */
   heardOwnerAt = -Infinity;
 
   private constructor(
@@ -40,12 +40,17 @@
     }
   }
 
-  /** Keeps the owner with the highest epoch; late records change nothing. */
-  takeOwner(owner: OwnerRecord): void {
+  /**
+   * Keeps the owner with the highest epoch; late records change nothing. A
+   * hint does not tell that the owner is alive: it may be older than this
+   * process.
+   */
+  takeOwner(owner: OwnerRecord, source: 'news' | 'hint'): void {
     const known = this.newestOwner;
     if (known && known.epoch >= owner.epoch) return;
     this.newestOwner = owner;
-    this.heardOwnerAt = this.clock.monotonicNow();
+    this.heardOwnerAt =
+      source === 'news' ? this.clock.monotonicNow() : -Infinity;
     this.logger.info('owner learned', {
       owner: owner.hostName,
       epoch: owner.epoch,
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -116,7 +116,7 @@
       const error = result.extract() as TypedError;
       logger.warn('claim failed', {reason, cause: error.message, milliseconds});
       const newer = OwnerRecord.safeParse(error.details.owner);
-      if (newer.success) membership.takeOwner(newer.data);
+      if (newer.success) membership.takeOwner(newer.data, 'news');
       return;
     }
     const claim = result.unsafeCoerce();
@@ -125,7 +125,7 @@
       epoch: claim.owner.epoch,
       milliseconds,
     });
-    membership.takeOwner(claim.owner);
+    membership.takeOwner(claim.owner, 'news');
     if (!this.isStopped) this.options.onClaimed(claim);
   }
 
@@ -141,9 +141,7 @@
     const {membership, clock, random} = this.options;
     const {owner} = membership;
     if (owner) {
-      const signs = await this.look(owner);
-      if (signs === 'alive') return;
-      if (signs === 'silent' && (await this.isHeardByOthers(owner))) return;
+      if (await this.isAlive(owner)) return;
     } else if (!this.isSettled()) {
       return;
     }
@@ -160,6 +158,18 @@
     );
   }
 
+  private async isAlive(owner: OwnerRecord): Promise<boolean> {
+    // After a start of all hosts the known owner is gone: both questions are
+    // asked at once, since hosts that are not back yet do not answer.
+    const others =
+      this.options.membership.heardOwnerAt === -Infinity
+        ? this.isHeardByOthers(owner)
+        : undefined;
+    const signs = await this.look(owner);
+    if (signs !== 'silent') return signs === 'alive';
+    return others ?? this.isHeardByOthers(owner);
+  }
+
   /** Place of this host in the order in which hosts claim the next epoch. */
   private rank(): number {
     const {membership} = this.options;
@@ -203,7 +213,7 @@
     }
     const answer = result.unsafeCoerce();
     membership.noteAnswer(owner.hostName);
-    if (answer.owner) membership.takeOwner(answer.owner);
+    if (answer.owner) membership.takeOwner(answer.owner, 'news');
     if (answer.desiredStateVersion > this.options.desiredStateVersion()) {
       this.options.onNewerDesiredState(owner.address);
     }
--- a/packages/cell-scheduler/src/index.ts
+++ b/packages/cell-scheduler/src/index.ts
@@ -1,5 +1,6 @@
 /** State of a shard and the decisions on it. */
 export * from './advice_wish.js';
+export * from './ended_submission.js';
 export * from './pacing_policy.js';
 export * from './placement.js';
 export * from './preemption_policy.js';
--- a/packages/cell-scheduler/src/record_codec.ts
+++ b/packages/cell-scheduler/src/record_codec.ts
@@ -1,5 +1,6 @@
 import {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
 import {z} from 'zod';
+import {EndedSubmission} from './ended_submission.js';
 import {StepProgress} from './step_progress.js';
 import type {StepState} from './step_state.js';
 import {SubmissionRecord} from './submission_record.js';
@@ -13,11 +14,6 @@
   acceptedAt: z.number(),
 });
 
-const EndingValue = z.object({
-  ending: z.enum(['failed', 'cancelled']),
-  endedAt: z.number(),
-});
-
 /** Keys and values of a shard's records. */
 export class RecordCodec {
   static submissionKey(id: string): string {
@@ -40,11 +36,8 @@
     });
   }
 
-  static encodeEnding(submission: SubmissionRecord): string {
-    return JSON.stringify({
-      ending: submission.ending,
-      endedAt: submission.endedAtUnixMilliseconds ?? 0,
-    });
+  static encodeEnding(ended: EndedSubmission): string {
+    return JSON.stringify(ended);
   }
 
   static encodeProgress(step: StepState): string {
@@ -68,10 +61,8 @@
   }
 
   /** Throws when the value does not match its schema. */
-  static applyEnding(submission: SubmissionRecord, value: string): void {
-    const decoded = EndingValue.parse(JSON.parse(value));
-    submission.ending = decoded.ending;
-    submission.endedAtUnixMilliseconds = decoded.endedAt;
+  static decodeEnding(value: string): EndedSubmission {
+    return EndedSubmission.parse(JSON.parse(value));
   }
 
   /** Throws when the value does not match its schema. */
--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -1,4 +1,5 @@
 import type {SubmissionState} from '@cardamomfield/cell-model';
+import type {EndedSubmission} from './ended_submission.js';
 import {RecordCodec} from './record_codec.js';
 import type {StepState} from './step_state.js';
 import type {SubmissionRecord} from './submission_record.js';
@@ -6,10 +7,13 @@
 
 /** Everything the owner of a shard knows. */
 export class ShardState {
+  /** Submissions that still have tasks to run. */
   readonly submissions = new Map<string, SubmissionRecord>();
+  /** What is kept of ended submissions, in the order of their ends. */
+  readonly ended = new Map<string, EndedSubmission>();
+  /** Completed submissions whose ending is not durable yet. */
+  readonly completing = new Set<string>();
   readonly workers = new Map<string, WorkerState>();
-  /** Submissions that still have tasks to run. */
-  private readonly open = new Set<SubmissionRecord>();
 
   private constructor() {}
 
@@ -19,27 +23,29 @@
 
   add(submission: SubmissionRecord): void {
     this.submissions.set(submission.id, submission);
-    this.open.add(submission);
   }
 
   remove(submission: SubmissionRecord): void {
     this.submissions.delete(submission.id);
-    this.open.delete(submission);
-  }
-
-  /** Takes a submission off the list of those with work left. */
-  close(submission: SubmissionRecord, nowUnixMilliseconds: number): void {
-    submission.endedAtUnixMilliseconds ??= nowUnixMilliseconds;
-    this.open.delete(submission);
   }
 
-  openSubmissions(): Iterable<SubmissionRecord> {
-    return this.open;
+  /** Keeps only how a submission ended. */
+  close(
+    submission: SubmissionRecord,
+    ending: EndedSubmission['ending'],
+    nowUnixMilliseconds: number,
+  ): void {
+    submission.ending = ending;
+    this.submissions.delete(submission.id);
+    this.ended.set(submission.id, {
+      ending,
+      endedAtUnixMilliseconds: nowUnixMilliseconds,
+    });
   }
 
   /** Steps whose dependencies are done and whose time has come. */
   *readySteps(nowUnixMilliseconds: number): Iterable<StepState> {
-    for (const submission of this.open) {
+    for (const submission of this.submissions.values()) {
       // Also before it is durable: intents follow it in the log, and orders
       // follow their intents.
       if (submission.ending) continue;
@@ -52,7 +58,7 @@
 
   /** Steps that wait only for steps whose tasks all run or are done. */
   *upcomingSteps(nowUnixMilliseconds: number): Iterable<StepState> {
-    for (const submission of this.open) {
+    for (const submission of this.submissions.values()) {
       if (submission.ending) continue;
       for (let k = 0; k < submission.occurrenceCount; k++) {
         if (submission.dueAt(k) > nowUnixMilliseconds) break;
@@ -61,17 +67,19 @@
     }
   }
 
-  /** The state that callers see. */
-  describe(submission: SubmissionRecord): SubmissionState {
-    if (submission.ending) return submission.ending;
-    if (submission.isCompletionDurable) return 'completed';
+  /** The state that callers see; undefined for an unknown submission. */
+  describe(id: string): SubmissionState | undefined {
+    const ended = this.ended.get(id);
+    if (ended) return this.completing.has(id) ? 'running' : ended.ending;
+    const submission = this.submissions.get(id);
+    if (!submission?.isAccepted) return undefined;
     return submission.hasStarted ? 'running' : 'queued';
   }
 
   /** Accepted submissions of a queue of which no task has started. */
   countPending(queueName: string): number {
     let count = 0;
-    for (const submission of this.open) {
+    for (const submission of this.submissions.values()) {
       if (submission.queue.name !== queueName) continue;
       if (submission.ending || submission.hasStarted) continue;
       if (submission.isAccepted) count++;
@@ -81,46 +89,63 @@
 
   /**
    * Rebuilds submissions from durable records. Returns the keys whose values
-   * could not be read; those records are left alone.
+   * could not be read, which are left alone, and those of submissions that
+   * have ended, which are not needed any more.
    */
-  restore(records: ReadonlyMap<string, string>): string[] {
+  restore(records: ReadonlyMap<string, string>): {
+    unreadable: string[];
+    obsolete: string[];
+  } {
     const unreadable: string[] = [];
-    for (const prefix of ['s/', 'e/', 'p/']) {
+    const obsolete: string[] = [];
+    for (const prefix of ['e/', 's/', 'p/']) {
       for (const [key, value] of records) {
         if (!key.startsWith(prefix)) continue;
-        if (!this.restoreRecord(key, value)) unreadable.push(key);
+        const outcome = this.restoreRecord(key, value);
+        if (outcome === 'unreadable') unreadable.push(key);
+        if (outcome === 'obsolete') obsolete.push(key);
       }
     }
     for (const submission of this.submissions.values()) {
       submission.isAccepted = true;
-      if (submission.areAllTasksDone) submission.isCompletionDurable = true;
-      if (submission.ending || submission.areAllTasksDone) {
-        this.open.delete(submission);
-      }
     }
-    return unreadable;
+    this.sortEnded();
+    return {unreadable, obsolete};
+  }
+
+  private sortEnded(): void {
+    const rows = [...this.ended].sort(
+      ([, a], [, b]) => a.endedAtUnixMilliseconds - b.endedAtUnixMilliseconds,
+    );
+    this.ended.clear();
+    for (const [id, ended] of rows) this.ended.set(id, ended);
   }
 
-  private restoreRecord(key: string, value: string): boolean {
+  private restoreRecord(
+    key: string,
+    value: string,
+  ): 'restored' | 'unreadable' | 'obsolete' {
     try {
       const name = key.slice(2);
-      if (key.startsWith('s/')) {
-        this.add(RecordCodec.decodeSubmission(name, value));
-        return true;
-      }
-      const [id, occurrence, index] = name.split('.');
-      const submission = this.submissions.get(id ?? '');
-      if (!submission) return true;
+      const [id = '', occurrence, index] = name.split('.');
       if (key.startsWith('e/')) {
-        RecordCodec.applyEnding(submission, value);
-        return true;
+        this.ended.set(id, RecordCodec.decodeEnding(value));
+        return 'restored';
+      }
+      if (this.ended.has(id)) return 'obsolete';
+      if (key.startsWith('s/')) {
+        this.add(RecordCodec.decodeSubmission(id, value));
+        return 'restored';
       }
+      const submission = this.submissions.get(id);
+      if (!submission) return 'obsolete';
       const step = submission.stepsOf(Number(occurrence))[Number(index)];
-      if (!step) return false;
+      if (!step) return 'unreadable';
       RecordCodec.applyProgress(step, value);
-      return true;
+      return 'restored';
     } catch {
-      return false;
+      // The caller logs the key and leaves the record alone.
+      return 'unreadable';
     }
   }
 }
--- a/packages/cell-scheduler/src/submission_record.ts
+++ b/packages/cell-scheduler/src/submission_record.ts
@@ -1,18 +1,15 @@
 import type {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
+import type {EndedSubmission} from './ended_submission.js';
 import {StepState} from './step_state.js';
 
 /** One accepted submission and the progress of its steps. */
 export class SubmissionRecord {
   /** Steps by occurrence; an occurrence is created when it is due. */
   readonly occurrences: StepState[][] = [];
-  ending: 'failed' | 'cancelled' | undefined;
-  /** Wall-clock time of the ending or completion, in Unix milliseconds. */
-  endedAtUnixMilliseconds: number | undefined;
+  ending: EndedSubmission['ending'] | undefined;
   hasStarted = false;
   /** True once the record is durable and callers may be told of it. */
   isAccepted = false;
-  /** True once the completion of all tasks is durable. */
-  isCompletionDurable = false;
 
   private constructor(
     readonly id: string,
--- a/packages/shard-owner/src/run_book.ts
+++ b/packages/shard-owner/src/run_book.ts
@@ -1,4 +1,5 @@
 import {
+  type EndedSubmission,
   RecordCodec,
   type Placement,
   type Run,
@@ -116,9 +117,7 @@
     submission: SubmissionRecord,
     ending: 'failed' | 'cancelled',
   ): void {
-    submission.ending = ending;
-    this.options.state.close(submission, this.options.clock.wallNow());
-    this.options.journal.mark(RecordCodec.endingKey(submission.id));
+    this.close(submission, ending);
     this.options.metrics.increment('submissions_ended', 1, {ending});
     this.options.logger.info('submission ended', {
       submission: submission.id,
@@ -210,15 +209,31 @@
   }
 
   private async complete(submission: SubmissionRecord): Promise<void> {
-    this.options.state.close(submission, this.options.clock.wallNow());
+    const {completing} = this.options.state;
+    completing.add(submission.id);
+    this.close(submission, 'completed');
     const committed = await this.options.journal.commit();
     if (committed.isLeft()) return;
-    submission.isCompletionDurable = true;
+    completing.delete(submission.id);
     this.options.metrics.increment('submissions_completed');
     this.options.logger.info('submission completed', {
       submission: submission.id,
     });
   }
+
+  /** Replaces the records of a submission by one that tells how it ended. */
+  private close(
+    submission: SubmissionRecord,
+    ending: EndedSubmission['ending'],
+  ): void {
+    const {state, journal, clock} = this.options;
+    state.close(submission, ending, clock.wallNow());
+    journal.mark(RecordCodec.endingKey(submission.id));
+    journal.mark(RecordCodec.submissionKey(submission.id));
+    for (const step of submission.occurrences.flat()) {
+      journal.mark(RecordCodec.progressKey(step));
+    }
+  }
 }
 
 function createRun(
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -291,20 +291,29 @@
     this.wakeUp.notify();
   }
 
-  /** All changed records, split so that each part fits one append. */
+  /**
+   * All changed records, split so that each part fits one append. Removals come
+   * last: what replaces a removed record is never durable after its removal.
+   */
   private takeChunks(): ShardRecord[][] {
+    const records = [...this.changed].map(key => ({
+      key,
+      value: this.options.encode(key),
+    }));
+    this.changed.clear();
     const chunks: ShardRecord[][] = [[]];
     let bytes = 0;
-    for (const key of this.changed) {
-      const value = this.options.encode(key);
-      if (bytes > 0 && bytes + value.length > MAXIMUM_BATCH_BYTES) {
+    for (const record of [
+      ...records.filter(({value}) => value !== ''),
+      ...records.filter(({value}) => value === ''),
+    ]) {
+      if (bytes > 0 && bytes + record.value.length > MAXIMUM_BATCH_BYTES) {
         chunks.push([]);
         bytes = 0;
       }
-      bytes += value.length + key.length;
-      chunks.at(-1)?.push({key, value});
+      bytes += record.value.length + record.key.length;
+      chunks.at(-1)?.push(record);
     }
-    this.changed.clear();
     return chunks;
   }
 
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -165,8 +165,9 @@
     queue: Queue,
     specification: SubmissionSpecification,
   ): Promise<Either<TypedError, void>> {
-    const known = this.state.submissions.get(id);
-    if (known?.isAccepted) return Right(undefined);
+    const isKnown =
+      this.state.ended.has(id) || this.state.submissions.get(id)?.isAccepted;
+    if (isKnown) return Right(undefined);
     const pending = this.admissions.get(id);
     if (pending) return pending.outcome;
     if (this.journal.isLogDown()) return Left(this.logDownError());
@@ -192,18 +193,15 @@
 
   /** The state of a submission, or `NotFoundError`. */
   show(id: string): Either<TypedError, SubmissionState> {
-    const submission = this.state.submissions.get(id);
-    if (!submission?.isAccepted) return Left(unknownSubmission(id));
-    return Right(this.state.describe(submission));
+    const state = this.state.describe(id);
+    return state ? Right(state) : Left(unknownSubmission(id));
   }
 
   /** Cancels a submission for good, or `NotFoundError`. */
   async cancel(id: string): Promise<Either<TypedError, void>> {
     const submission = this.state.submissions.get(id);
-    if (!submission) return Left(unknownSubmission(id));
-    if (!submission.ending && !submission.areAllTasksDone) {
-      this.book.endSubmission(submission, 'cancelled');
-    }
+    if (submission) this.book.endSubmission(submission, 'cancelled');
+    else if (!this.state.ended.has(id)) return Left(unknownSubmission(id));
     return this.journal.commit();
   }
 
@@ -368,10 +366,11 @@
 
   private restore(): void {
     const {claim, logger} = this.options;
-    const unreadable = this.state.restore(claim.records);
+    const {unreadable, obsolete} = this.state.restore(claim.records);
     for (const key of unreadable) logger.error('record unreadable', {key});
+    for (const key of obsolete) this.journal.mark(key);
     let placed = 0;
-    for (const submission of this.state.openSubmissions()) {
+    for (const submission of this.state.submissions.values()) {
       for (const step of submission.occurrences.flat()) {
         for (const task of step.tasks) {
           if (task.phase !== 'placed') continue;
@@ -385,32 +384,31 @@
     logger.info('shard restored', {
       epoch: this.epoch,
       submissions: this.state.submissions.size,
+      ended: this.state.ended.size,
       placed,
     });
   }
 
   private forgetEnded(nowUnixMilliseconds: number): void {
     const {keepEndedMilliseconds} = this.options.timing;
-    for (const submission of this.state.submissions.values()) {
-      const endedAt = submission.endedAtUnixMilliseconds;
-      if (endedAt === undefined) continue;
-      if (nowUnixMilliseconds < endedAt + keepEndedMilliseconds) continue;
-      this.state.remove(submission);
-      this.journal.mark(RecordCodec.submissionKey(submission.id));
-      this.journal.mark(RecordCodec.endingKey(submission.id));
-      for (const step of submission.occurrences.flat()) {
-        this.journal.mark(RecordCodec.progressKey(step));
-      }
+    for (const [id, {endedAtUnixMilliseconds}] of this.state.ended) {
+      if (nowUnixMilliseconds < endedAtUnixMilliseconds + keepEndedMilliseconds)
+        return;
+      this.state.ended.delete(id);
+      this.journal.mark(RecordCodec.endingKey(id));
     }
   }
 
   private encode(key: string): string {
     const name = key.slice(2);
     const [id, occurrence, index] = name.split('.');
+    if (key.startsWith('e/')) {
+      const ended = this.state.ended.get(name);
+      return ended ? RecordCodec.encodeEnding(ended) : '';
+    }
     const submission = this.state.submissions.get(id ?? '');
     if (!submission) return '';
     if (key.startsWith('s/')) return RecordCodec.encodeSubmission(submission);
-    if (key.startsWith('e/')) return RecordCodec.encodeEnding(submission);
     const step = submission.stepsOf(Number(occurrence))[Number(index)];
     return step ? RecordCodec.encodeProgress(step) : '';
   }
