--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -392,8 +392,12 @@
   private forgetEnded(nowUnixMilliseconds: number): void {
     const {keepEndedMilliseconds} = this.options.timing;
     for (const [id, {endedAtUnixMilliseconds}] of this.state.ended) {
-      if (nowUnixMilliseconds < endedAtUnixMilliseconds + keepEndedMilliseconds)
+      if (
+        nowUnixMilliseconds <
+        endedAtUnixMilliseconds + keepEndedMilliseconds
+      ) {
         return;
+      }
       this.state.ended.delete(id);
       this.journal.mark(RecordCodec.endingKey(id));
     }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
-// Bundles the daemon into one file under target/, so that a start loads little.
+// Bundles the daemon into one file, so that a start loads little. The first
+// argument names the file; target/cardamomfield.mjs if omitted.
 import {build} from 'esbuild';
 
 const WORKSPACE = /^@cardamomfield\/([^/]+)$/;
@@ -26,7 +27,7 @@
 
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/cardamomfield.mjs',
+  outfile: process.argv[2] ?? 'target/cardamomfield.mjs',
   bundle: true,
   platform: 'node',
   format: 'esm',
