Hand the shard over when the store serves only peers

Every append went through peers, a third of which were cut as well; 18, 0, 8 and 25 submissions a second were accepted instead of 46, then none for 2 s, and ends waited so long that leases lapsed.

Change: an owner that the store has not served for 1.2 s, while appends through peers succeed, asks other hosts to take the shard. A host that the store does not serve refuses.

Ruled out: slow claims (103 ms), overload of the owner (0.55 of its core).

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -32,8 +32,17 @@
 /** Time for a successor to take the shard. */
 const TAKE_TIMEOUT_MILLISECONDS = 1_200;
 
-/** How often an owner looks for a stronger host. */
-const STRONGER_HOST_CHECK_MILLISECONDS = 1_000;
+/** How often an owner looks for a host that can serve the shard better. */
+const BETTER_HOST_CHECK_MILLISECONDS = 500;
+
+/**
+ * An owner that the log has not served for this long, while appends through
+ * peers succeed, hands over; shorter troubles are bridged by the peers.
+ */
+const LOG_SILENCE_MILLISECONDS = 1_200;
+
+/** Hosts that are asked to take the shard in one go. */
+const HOSTS_PER_HANDOVER = 6;
 
 /** A host with this many times the processors is worth a handover. */
 const STRONGER_FACTOR = 1.5;
@@ -143,7 +152,7 @@
     this.isLeaving = true;
     this.election.stop();
     if (!this.owner) return;
-    await this.handOver(this.candidates());
+    await this.handOver(this.candidates(), 'leaving');
     this.dropOwner();
   }
 
@@ -154,7 +163,7 @@
   }
 
   /** Asks the hosts in turn to take the shard, until one has. */
-  private async handOver(hosts: HostRecord[]): Promise<void> {
+  private async handOver(hosts: HostRecord[], reason: string): Promise<void> {
     const {peers, logger} = this.options;
     for (const host of hosts) {
       const result = await peers.call(
@@ -166,25 +175,33 @@
       );
       logger.info('shard handed over', {
         to: host.name,
+        reason,
         isTaken: result.isRight(),
+        cause: result.isLeft()
+          ? (result.extract() as TypedError).message
+          : undefined,
       });
       if (result.isRight()) return;
-      this.membership.noteSilent(host.name);
     }
   }
 
-  /** Gives the shard to a stronger host once there is one. */
-  private async yieldToStronger(owner: ShardOwner): Promise<void> {
-    const {clock, settings} = this.options;
+  /** Gives the shard to a host that can serve it better, once there is one. */
+  private async yieldToBetter(owner: ShardOwner): Promise<void> {
+    const {clock, settings, ports} = this.options;
     while (this.owner === owner && !this.stopping.signal.aborted) {
       await clock.sleepUntil(
-        clock.monotonicNow() + STRONGER_HOST_CHECK_MILLISECONDS,
+        clock.monotonicNow() + BETTER_HOST_CHECK_MILLISECONDS,
       );
       if (this.owner !== owner || owner.isLogDown()) continue;
+      if (ports.logSilenceMilliseconds() > LOG_SILENCE_MILLISECONDS) {
+        const others = this.candidates().slice(0, HOSTS_PER_HANDOVER);
+        await this.handOver(others, 'the log serves peers only');
+        continue;
+      }
       const stronger = this.candidates().filter(
         host => host.milliCores >= settings.milliCores * STRONGER_FACTOR,
       );
-      await this.handOver(stronger.slice(0, 1));
+      await this.handOver(stronger.slice(0, 1), 'a stronger host');
     }
   }
 
@@ -252,7 +269,7 @@
     metrics.gauge('owned_epoch', claim.owner.epoch);
     void owner.run();
     void this.announceOwner(claim);
-    void this.yieldToStronger(owner);
+    void this.yieldToBetter(owner);
   }
 
   private async announceOwner(claim: ShardClaim): Promise<void> {
@@ -325,6 +342,11 @@
       if (this.isLeaving) {
         return Left(UnavailableError.create('this host is leaving too'));
       }
+      if (ports.logSilenceMilliseconds() > 0) {
+        return Left(
+          UnavailableError.create('the log does not serve this host'),
+        );
+      }
       await this.election.claim('handed over');
       return this.owner ? Right({}) : Left(NotOwnerError.create());
     });
--- a/packages/cell-host/src/cell_ports.ts
+++ b/packages/cell-host/src/cell_ports.ts
@@ -17,5 +17,7 @@
   adviser: Adviser | undefined;
   desiredState: DesiredStateSource;
   /** Carries out a platform call for a host that the platform turns away. */
+  /** How long the log has not answered this host itself; 0 when it does. */
+  logSilenceMilliseconds: () => number;
   relay: (request: string, timeoutMilliseconds: number) => Promise<string>;
 }
