Split the worker session by job

Orders move to RunOrders, leases and the worker's clock to WorkerLeases, two functions to files of their own.

--- /dev/null
+++ b/packages/shard-owner/src/confirm_start.ts
@@ -0,0 +1,10 @@
+import type {Run} from '@cardamomfield/cell-scheduler';
+
+/** Books that the worker has a run; `now` is monotonic. */
+export function confirmStart(run: Run, now: number): void {
+  run.phase = 'running';
+  run.runningSince = now;
+  run.checkpointedAt = now;
+  run.progressedAt = now;
+  run.step.submission.hasStarted = true;
+}
--- /dev/null
+++ b/packages/shard-owner/src/last_look.ts
@@ -0,0 +1,7 @@
+/** The newest look that a worker answered. */
+export interface LastLook {
+  /** Monotonic time at which it was sent. */
+  sentAt: number;
+  /** Names of the tasks that the worker listed as running. */
+  running: ReadonlySet<string>;
+}
--- /dev/null
+++ b/packages/shard-owner/src/worker_leases.ts
@@ -0,0 +1,68 @@
+import type {Clock} from '@cardamomfield/clock';
+import type {OwnerTiming} from './owner_timing.js';
+import type {ShardJournal} from './shard_journal.js';
+import {WorkerClock} from './worker_clock.js';
+
+/** Lease that a look or a start grants while the log is well. */
+const LEASE_MILLISECONDS = 5_000;
+
+/** Added to a lease end before its tasks are taken for dead. */
+const LEASE_MARGIN_MILLISECONDS = 400;
+
+interface WorkerLeasesOptions {
+  journal: ShardJournal;
+  clock: Clock;
+  timing: OwnerTiming;
+  /** Monotonic time at which leases of earlier owners have surely lapsed. */
+  earlierLeasesEndAt: number;
+}
+
+/** The leases that were granted to one worker, in its time and in ours. */
+export class WorkerLeases {
+  private readonly clock = WorkerClock.create();
+  /** Monotonic time at which every granted lease has surely lapsed. */
+  private endsAt: number;
+
+  private constructor(private readonly options: WorkerLeasesOptions) {
+    this.endsAt = options.earlierLeasesEndAt;
+  }
+
+  static create(options: WorkerLeasesOptions): WorkerLeases {
+    return new WorkerLeases(options);
+  }
+
+  get isClockKnown(): boolean {
+    return this.clock.isKnown;
+  }
+
+  /** True once nothing that was started on the worker can still run. */
+  get areOver(): boolean {
+    return this.options.clock.monotonicNow() > this.endsAt;
+  }
+
+  /** Takes a reading of the worker's clock that arrived at a monotonic time. */
+  observe(workerMilliseconds: number, receivedAt: number): void {
+    this.clock.observe(workerMilliseconds, receivedAt);
+  }
+
+  /** The worker's clock begins anew; a restart ends all earlier leases. */
+  enterLife(isRestart: boolean): void {
+    this.clock.forget();
+    if (isRestart) this.endsAt = 0;
+  }
+
+  /** The lease end to send now, on the worker's clock. */
+  grant(now: number): number {
+    const {journal, timing} = this.options;
+    // While the log fails, the longest lease carries the tasks over an outage.
+    const length = journal.isLogFailing()
+      ? timing.maximumLeaseMilliseconds
+      : Math.min(LEASE_MILLISECONDS, timing.maximumLeaseMilliseconds);
+    const end = Math.round(this.clock.estimate(now) + length);
+    this.endsAt = Math.max(
+      this.endsAt === Infinity ? 0 : this.endsAt,
+      this.clock.latestLocalTime(end) + LEASE_MARGIN_MILLISECONDS,
+    );
+    return end;
+  }
+}
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -1,6 +1,5 @@
 import type {
   RunningTask,
-  StartOutcome,
   WorkerDescription,
   WorkerLink,
   WorkerLinks,
@@ -13,16 +12,16 @@
   WorkerState,
 } from '@cardamomfield/cell-scheduler';
 import {type Clock, Notifier} from '@cardamomfield/clock';
-import {RefusedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
 import type {OwnerTiming} from './owner_timing.js';
+import {confirmStart} from './confirm_start.js';
+import {endsSoon} from './ends_soon.js';
+import type {LastLook} from './last_look.js';
 import type {RunBook} from './run_book.js';
+import {RunOrders} from './run_orders.js';
 import type {ShardJournal} from './shard_journal.js';
-import {WorkerClock} from './worker_clock.js';
-
-/** Lease that a look or a start grants while the log is well. */
-const LEASE_MILLISECONDS = 5_000;
+import {WorkerLeases} from './worker_leases.js';
 
 /** A look waits this long at the worker for an end. */
 const LOOK_WAIT_MILLISECONDS = 500;
@@ -39,14 +38,8 @@
 /** Pause between looks while ends cannot be recorded. */
 const LOOK_PAUSE_WITHOUT_LOG_MILLISECONDS = 300;
 
-/** A start without an answer is repeated this often before it is withdrawn. */
-const START_TRIES = 3;
-
-/** Added to a lease end before its tasks are taken for dead. */
-const LEASE_MARGIN_MILLISECONDS = 400;
-
-/** Pause between tries of a stop that was not answered. */
-const STOP_RETRY_MILLISECONDS = 250;
+/** Pause before the next look while unknown runs are stopped. */
+const FOREIGN_RUNS_PAUSE_MILLISECONDS = 250;
 
 /**
  * A worker that is not listed for this long is taken for gone. Entries that
@@ -57,12 +50,6 @@
 /** A worker on which a run stood still is avoided for this long. */
 const STALL_PAUSE_MILLISECONDS = 2_000;
 
-/** A worker that refuses starts is avoided for this long. */
-const UNHEALTHY_PAUSE_MILLISECONDS = 1_000;
-
-/** Pause before a task is offered again after a refused start. */
-const REFUSED_PAUSE_MILLISECONDS = 100;
-
 interface WorkerSessionOptions {
   description: WorkerDescription;
   links: WorkerLinks;
@@ -87,14 +74,13 @@
 export class WorkerSession {
   readonly worker: WorkerState;
   private link: WorkerLink;
-  private readonly workerClock = WorkerClock.create();
+  private readonly leases: WorkerLeases;
+  private readonly orders: RunOrders;
   private readonly wakeUp: Notifier;
   /** Start of the life that answered last; 0 before the first answer. */
   private bornAt = 0;
   private processedEnd = 0;
   private acknowledgedEnd = 0;
-  /** Monotonic time at which every granted lease has surely lapsed. */
-  private leaseEndsAt: number;
   private isStopped = false;
   private isReachable = true;
   /** The link that gave the last report. */
@@ -104,14 +90,23 @@
   private hasForeignRuns = false;
   /** Freezes of this process before the last look that was answered. */
   private freezesAtReport = 0;
-  private lastLookSentAt = -Infinity;
-  private lastRunning = new Set<string>();
+  private lastLook: LastLook = {sentAt: -Infinity, running: new Set()};
 
   private constructor(private readonly options: WorkerSessionOptions) {
     this.worker = WorkerState.create(options.description);
     this.link = options.links.open(options.description);
     this.wakeUp = Notifier.create(options.clock);
-    this.leaseEndsAt = options.earlierLeasesEndAt;
+    this.leases = WorkerLeases.create(options);
+    this.orders = RunOrders.create({
+      ...options,
+      worker: this.worker,
+      leases: this.leases,
+      link: () => this.link,
+      isStopped: () => this.isStopped,
+      isUpToDate: () => this.isUpToDate,
+      lastLook: () => this.lastLook,
+      onStopped: () => this.wakeUp.notify(),
+    });
   }
 
   static create(options: WorkerSessionOptions): WorkerSession {
@@ -195,11 +190,21 @@
       if (run.phase !== 'running') continue;
       const {isService, savesCheckpoints} = run.step.specification;
       if (isService || (savesCheckpoints && !endsSoon(run, now))) {
-        this.stopRun(run);
+        this.orders.stop(run);
       }
     }
   }
 
+  /** Sends the start of a run whose intent is durable. */
+  start(run: Run): Promise<void> {
+    return this.orders.start(run);
+  }
+
+  /** Ends a run; its end is booked when the worker lists it. */
+  stopRun(run: Run): void {
+    this.orders.stop(run);
+  }
+
   stop(): void {
     this.isStopped = true;
     this.worker.isUsable = false;
@@ -212,11 +217,6 @@
     return this.freezesAtReport === this.options.journal.freezeCount;
   }
 
-  /** True once nothing that was started here can still run. */
-  get areLeasesOver(): boolean {
-    return this.options.clock.monotonicNow() > this.leaseEndsAt;
-  }
-
   /**
    * False when another life may answer the next look, which numbers its ends
    * anew: after a silence, a freeze, or news of a restart.
@@ -227,162 +227,17 @@
     );
   }
 
-  /** Sends the start of a run whose intent is durable. */
-  async start(run: Run): Promise<void> {
-    if (run.phase !== 'recording') return;
-    run.phase = 'ordering';
-    const {journal, book} = this.options;
-    for (let attempt = 0; attempt < START_TRIES; attempt++) {
-      const mayOrder =
-        journal.hasAuthority() && this.workerClock.isKnown && this.isUpToDate;
-      if (!mayOrder && attempt === 0) {
-        book.vanish(run, 'no authority', REFUSED_PAUSE_MILLISECONDS);
-        return;
-      }
-      if (!mayOrder) break;
-      const outcome = await this.sendStart(run);
-      // The phase may have changed while the answer was on its way.
-      if ((run.phase as Run['phase']) !== 'ordering' || this.isStopped) return;
-      if (outcome.kind === 'started') {
-        this.confirm(run);
-        return;
-      }
-      if (outcome.kind === 'refused') {
-        this.noteRefusal(run, outcome.reason);
-        if (attempt > 0) break;
-        book.vanish(run, outcome.reason, REFUSED_PAUSE_MILLISECONDS);
-        return;
-      }
-    }
-    // An earlier try may have been carried out: the stop settles it.
-    this.stopRun(run);
-  }
-
-  /** Ends a run; its end is booked when the worker lists it. */
-  stopRun(run: Run): void {
-    if (run.phase === 'stopping') return;
-    const wasRecording = run.phase === 'recording';
-    run.phase = 'stopping';
-    // An intent that was never ordered has nothing to stop on the worker.
-    if (wasRecording) this.options.book.vanish(run, 'withdrawn');
-    else void this.sendStops(run);
-  }
-
-  private async sendStops(run: Run): Promise<void> {
-    const {clock, journal, book} = this.options;
-    while (!this.isStopped && this.worker.runs.get(run.task.name) === run) {
-      const result = await this.link.stop(
-        run.task.name,
-        run.attempt,
-        journal.epoch,
-      );
-      const answeredAt = clock.monotonicNow();
-      if (result.isRight()) {
-        this.wakeUp.notify();
-        await clock.sleepUntil(
-          answeredAt + this.options.timing.stopMilliseconds,
-        );
-        await this.confirmGone(run, answeredAt);
-        return;
-      }
-      const error = result.extract();
-      if (
-        error instanceof RefusedError &&
-        error.details.reason === 'other-life'
-      ) {
-        book.vanish(run, 'worker replaced');
-        return;
-      }
-      await clock.sleepUntil(answeredAt + STOP_RETRY_MILLISECONDS);
-    }
-  }
-
-  /** After an answered stop a run that no look lists does not exist. */
-  private async confirmGone(run: Run, stoppedAt: number): Promise<void> {
-    const {clock, book} = this.options;
-    while (!this.isStopped && this.worker.runs.get(run.task.name) === run) {
-      if (
-        this.lastLookSentAt > stoppedAt &&
-        !this.lastRunning.has(run.task.name)
-      ) {
-        book.vanish(run, 'stopped');
-        return;
-      }
-      await clock.sleepUntil(clock.monotonicNow() + STOP_RETRY_MILLISECONDS);
-    }
-  }
-
-  private async sendStart(run: Run): Promise<StartOutcome> {
-    const {clock, journal, logger, metrics} = this.options;
-    const sentAt = clock.monotonicNow();
-    const outcome = await this.link.start({
-      taskName: run.task.name,
-      attempt: run.attempt,
-      payload: run.step.submission.specification.payload,
-      leaseEndWorkerMilliseconds: this.grantLease(sentAt),
-      fence: journal.epoch,
-      checkpoint: run.task.checkpoint,
-      ticket: run.ticket,
-    });
-    const kind = outcome.kind === 'refused' ? outcome.reason : outcome.kind;
-    const milliseconds = clock.monotonicNow() - sentAt;
-    metrics.timing('start_order_milliseconds', milliseconds, {outcome: kind});
-    logger.info('start ordered', {
-      task: run.task.name,
-      attempt: run.attempt,
-      worker: this.worker.id,
-      epoch: journal.epoch,
-      outcome: kind,
-      milliseconds: Math.round(milliseconds),
-    });
-    return outcome;
-  }
-
-  private noteRefusal(run: Run, reason: string): void {
-    const {clock} = this.options;
-    if (reason === 'ticket-expired') {
-      run.step.advice.tickets.delete(this.worker.id);
-    }
-    if (reason === 'unhealthy' || reason === 'no-room') {
-      this.worker.avoidUntil =
-        clock.monotonicNow() + UNHEALTHY_PAUSE_MILLISECONDS;
-    }
-  }
-
-  private confirm(run: Run): void {
-    run.phase = 'running';
-    run.runningSince = this.options.clock.monotonicNow();
-    run.checkpointedAt = run.runningSince;
-    run.progressedAt = run.runningSince;
-    run.step.submission.hasStarted = true;
-  }
-
-  /** The lease end to send now, on the worker's clock. */
-  private grantLease(now: number): number {
-    const {journal, timing} = this.options;
-    // While the log fails, the longest lease carries the tasks over an outage.
-    const length = journal.isLogFailing()
-      ? timing.maximumLeaseMilliseconds
-      : Math.min(LEASE_MILLISECONDS, timing.maximumLeaseMilliseconds);
-    const end = Math.round(this.workerClock.estimate(now) + length);
-    this.leaseEndsAt = Math.max(
-      this.leaseEndsAt === Infinity ? 0 : this.leaseEndsAt,
-      this.workerClock.latestLocalTime(end) + LEASE_MARGIN_MILLISECONDS,
-    );
-    return end;
-  }
-
   private async look(now: number): Promise<WorkerReport | undefined> {
     const {journal, logger, metrics} = this.options;
     const mayRenew =
       this.worker.runs.size > 0 &&
       this.isReachable &&
-      this.workerClock.isKnown &&
+      this.leases.isClockKnown &&
       journal.hasAuthority();
     const link = this.link;
     const freezes = journal.freezeCount;
     const result = await link.look({
-      leaseEndWorkerMilliseconds: mayRenew ? this.grantLease(now) : undefined,
+      leaseEndWorkerMilliseconds: mayRenew ? this.leases.grant(now) : undefined,
       fence: journal.epoch,
       acknowledgedEnd: this.isSameLife ? this.acknowledgedEnd : 0,
       waitMilliseconds: this.lookWait(),
@@ -428,9 +283,11 @@
   private async take(report: WorkerReport, sentAt: number): Promise<void> {
     const now = this.options.clock.monotonicNow();
     if (report.bornAtUnixMilliseconds !== this.bornAt) this.enterLife(report);
-    this.workerClock.observe(report.clock, now);
-    this.lastLookSentAt = sentAt;
-    this.lastRunning = new Set(report.running.map(row => row.taskName));
+    this.leases.observe(report.clock, now);
+    this.lastLook = {
+      sentAt,
+      running: new Set(report.running.map(row => row.taskName)),
+    };
     this.takeEnds(report);
     this.takeRunning(report, sentAt, now);
     const isCurrentLife =
@@ -440,10 +297,12 @@
     if (this.worker.isUsable !== wasUsable) this.options.onChange();
     this.endStalledRuns(now);
     for (const change of this.options.pacing.decide(this.worker)) {
-      void this.pace(change.run, change.percent);
+      void this.orders.pace(change.run, change.percent);
     }
     if (this.hasForeignRuns) {
-      await this.options.clock.sleepUntil(now + STOP_RETRY_MILLISECONDS);
+      await this.options.clock.sleepUntil(
+        now + FOREIGN_RUNS_PAUSE_MILLISECONDS,
+      );
     }
   }
 
@@ -461,8 +320,7 @@
     this.bornAt = report.bornAtUnixMilliseconds;
     this.processedEnd = 0;
     this.acknowledgedEnd = 0;
-    this.workerClock.forget();
-    if (isRestart) this.leaseEndsAt = 0;
+    this.leases.enterLife(isRestart);
     if (isRestart) logger.warn('worker restarted', {worker: this.worker.id});
     for (const run of [...this.worker.runs.values()]) {
       if (run.task.workerBornAt === this.bornAt) continue;
@@ -471,7 +329,7 @@
         run.task.workerBornAt = this.bornAt;
       } else if (isRestart && isStartInDoubt(run)) {
         // The order may still reach the new life: withdraw it there first.
-        this.stopRun(run);
+        this.orders.stop(run);
       } else {
         book.vanish(run, 'worker restarted');
       }
@@ -497,7 +355,7 @@
         this.update(run, row, now);
         // A run taken over may belong to work that was ended before its worker
         // was looked at.
-        if (run.step.submission.ending) this.stopRun(run);
+        if (run.step.submission.ending) this.orders.stop(run);
       } else {
         this.hasForeignRuns = true;
         void this.link.stop(
@@ -516,7 +374,7 @@
   }
 
   private update(run: Run, row: RunningTask, now: number): void {
-    if (run.phase === 'ordering') this.confirm(run);
+    if (run.phase === 'ordering') confirmStart(run, now);
     if (row.progressPercent !== run.progressPercent) run.progressedAt = now;
     run.progressPercent = row.progressPercent;
     run.load = row.load;
@@ -543,25 +401,6 @@
     await Promise.race([commit, pause]);
   }
 
-  private async pace(run: Run, percent: number): Promise<void> {
-    run.pacePercent = percent;
-    const {journal, logger} = this.options;
-    const result = await this.link.pace(
-      run.task.name,
-      run.attempt,
-      percent,
-      journal.epoch,
-    );
-    logger.info('run paced', {
-      task: run.task.name,
-      worker: this.worker.id,
-      percent,
-      isApplied: result.isRight(),
-    });
-    // An unanswered call may not have been applied; the next look decides anew.
-    if (result.isLeft()) run.pacePercent = percent === 100 ? 99 : 100;
-  }
-
   private endStalledRuns(now: number): void {
     for (const run of [...this.worker.runs.values()]) {
       if (!this.options.stalls.isStalled(run, now)) continue;
@@ -574,13 +413,13 @@
       });
       run.task.lastFailedWorkerId = this.worker.id;
       this.worker.avoidUntil = now + STALL_PAUSE_MILLISECONDS;
-      this.stopRun(run);
+      this.orders.stop(run);
     }
   }
 
   /** Gives up the runs of a worker that nobody can reach once leases lapsed. */
   private checkLeases(): void {
-    if (!this.areLeasesOver) return;
+    if (!this.leases.areOver) return;
     for (const run of [...this.worker.runs.values()]) {
       if (run.phase === 'recording') continue;
       this.options.book.vanish(run, 'lease lapsed');
@@ -588,17 +427,6 @@
   }
 }
 
-/** A run with less than this left is not moved off a leaving worker. */
-const ENDS_SOON_MILLISECONDS = 1_500;
-
-function endsSoon(run: Run, now: number): boolean {
-  if (run.progressPercent <= 0) return false;
-  const elapsed = now - (run.runningSince ?? now);
-  const remaining =
-    (elapsed * (100 - run.progressPercent)) / run.progressPercent;
-  return remaining < ENDS_SOON_MILLISECONDS;
-}
-
 /** True for a start without an answer, also while it is being withdrawn. */
 function isStartInDoubt(run: Run): boolean {
   if (run.phase === 'ordering') return true;
