--- a/packages/cell-stand-ins/src/ended_records.test.ts
+++ b/packages/cell-stand-ins/src/ended_records.test.ts
@@ -1,10 +1,6 @@
-import {ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {expect, it} from 'vitest';
-import {MemoryCellWorker} from './memory_cell_worker.js';
-import {MemoryShardStore} from './memory_shard_store.js';
+import {CellRig} from './cell_rig.js';
 import {createSubmission} from './plain_submission.js';
-import {PromiseLedger} from './promise_ledger.js';
-import {SimulatedOwnerHost} from './simulated_owner_host.js';
 
 const IDS = ['aa', 'bb', 'cc', 'dd'].map(end => `00000000000000${end}`);
 
@@ -12,27 +8,10 @@
 // full (500 records of four pages and 0.2 s on a small cell), and against work
 // that starts again because only the record of its end is left.
 it('keeps one record of an ended submission', async () => {
-  const base = ManualClock.create();
-  const random = SeededRandomSource.create(2);
-  const ledger = PromiseLedger.create();
-  const store = MemoryShardStore.create();
-  const worker = MemoryCellWorker.create(
-    'worker',
-    90_000,
-    base,
-    random,
-    ledger,
-    () => 1,
-  );
-  const options = {
-    store,
-    workers: new Map([['worker', worker]]),
-    base,
-    random,
-    weakness: {},
-  };
-  const first = SimulatedOwnerHost.create({...options, name: 'first'});
-  const second = SimulatedOwnerHost.create({...options, name: 'second'});
+  const rig = CellRig.create({seed: 2, milliCores: 90_000});
+  const {base, store, ledger} = rig;
+  const first = rig.addHost('first');
+  const second = rig.addHost('second');
   void first.claim(0);
   await base.advance(2_300);
   const {queue, specification} = createSubmission(3);
--- a/packages/cell-stand-ins/src/lapsed_entry.test.ts
+++ b/packages/cell-stand-ins/src/lapsed_entry.test.ts
@@ -1,50 +1,32 @@
-import {ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {expect, it} from 'vitest';
-import {MemoryCellWorker} from './memory_cell_worker.js';
-import {MemoryShardStore} from './memory_shard_store.js';
+import {CellRig} from './cell_rig.js';
 import {createSubmission} from './plain_submission.js';
-import {PromiseLedger} from './promise_ledger.js';
-import {SimulatedOwnerHost} from './simulated_owner_host.js';
+import {replaceLinkCalls} from './replace_link_calls.js';
 
 const LAPSE_MILLISECONDS = 1_500;
 
 /** Stops sent while the entry of a worker with services was missing. */
 async function countStops(missingMilliseconds: number) {
-  const base = ManualClock.create();
-  const random = SeededRandomSource.create(7);
-  const worker = MemoryCellWorker.create(
-    'worker',
-    9_000,
-    base,
-    random,
-    PromiseLedger.create(),
-    () => 1,
-  );
   let stops = 0;
   let starts = 0;
-  const host = SimulatedOwnerHost.create({
-    name: 'host',
-    store: MemoryShardStore.create(),
-    workers: new Map([['worker', worker]]),
-    base,
-    random,
+  const rig = CellRig.create({
+    seed: 7,
     weakness: {
-      wrapLink: link => ({
-        start: order => {
-          starts++;
-          return link.start(order);
-        },
-        stop: (name, attempt, fence) => {
-          stops++;
-          return link.stop(name, attempt, fence);
-        },
-        pace: (name, attempt, percent, fence) =>
-          link.pace(name, attempt, percent, fence),
-        look: order => link.look(order),
-        close: () => link.close(),
-      }),
+      wrapLink: link =>
+        replaceLinkCalls(link, {
+          start: order => {
+            starts++;
+            return link.start(order);
+          },
+          stop: (name, attempt, fence) => {
+            stops++;
+            return link.stop(name, attempt, fence);
+          },
+        }),
     },
   });
+  const {base, worker} = rig;
+  const host = rig.addHost('host');
   void host.claim(0);
   await base.advance(2_300);
   const {queue, specification} = createSubmission(3, true);
--- a/packages/cell-stand-ins/src/outage_admission.test.ts
+++ b/packages/cell-stand-ins/src/outage_admission.test.ts
@@ -1,11 +1,7 @@
-import {ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {UnavailableError} from '@cardamomfield/errors';
 import {expect, it} from 'vitest';
-import {MemoryCellWorker} from './memory_cell_worker.js';
-import {MemoryShardStore} from './memory_shard_store.js';
+import {CellRig} from './cell_rig.js';
 import {createSubmission} from './plain_submission.js';
-import {PromiseLedger} from './promise_ledger.js';
-import {SimulatedOwnerHost} from './simulated_owner_host.js';
 
 const SENT = '00000000000000aa';
 const UNSENT = '00000000000000bb';
@@ -14,26 +10,9 @@
 // their submission was never sent to the log, and against one that is refused
 // and runs all the same.
 it('refuses what was not sent to the log when an outage begins', async () => {
-  const base = ManualClock.create();
-  const random = SeededRandomSource.create(3);
-  const ledger = PromiseLedger.create();
-  const store = MemoryShardStore.create();
-  const worker = MemoryCellWorker.create(
-    'worker',
-    9_000,
-    base,
-    random,
-    ledger,
-    () => 1,
-  );
-  const host = SimulatedOwnerHost.create({
-    name: 'host',
-    store,
-    workers: new Map([['worker', worker]]),
-    base,
-    random,
-    weakness: {},
-  });
+  const rig = CellRig.create({seed: 3});
+  const {base, store} = rig;
+  const host = rig.addHost('host');
   void host.claim(0);
   await base.advance(2_300);
   const {queue, specification} = createSubmission(1);
@@ -67,17 +46,9 @@
 // Guards against changes that are sent along to find out whether the log is
 // back: their outcome would be in doubt.
 it('asks a failing log before it sends new submissions', async () => {
-  const base = ManualClock.create();
-  const random = SeededRandomSource.create(3);
-  const store = MemoryShardStore.create();
-  const host = SimulatedOwnerHost.create({
-    name: 'host',
-    store,
-    workers: new Map(),
-    base,
-    random,
-    weakness: {},
-  });
+  const rig = CellRig.create({seed: 3, workerIds: []});
+  const {base, store} = rig;
+  const host = rig.addHost('host');
   void host.claim(0);
   await base.advance(1_500);
   store.isDown = true;
--- a/packages/cell-stand-ins/src/ownership_run.test.ts
+++ b/packages/cell-stand-ins/src/ownership_run.test.ts
@@ -1,8 +1,9 @@
-import type {ShardLog, WorkerLink} from '@cardamomfield/cell-model';
+import type {ShardLog} from '@cardamomfield/cell-model';
 import {Right} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
 import type {HostWeakness} from './host_weakness.js';
 import {OwnershipRun} from './ownership_run.js';
+import {replaceLinkCalls} from './replace_link_calls.js';
 
 const SEEDS = Array.from({length: 40}, (_, index) => index + 1);
 
@@ -26,19 +27,6 @@
   return false;
 }
 
-/** A link whose given calls are replaced. */
-function replace(link: WorkerLink, calls: Partial<WorkerLink>): WorkerLink {
-  return {
-    start: order => link.start(order),
-    stop: (name, attempt, fence) => link.stop(name, attempt, fence),
-    pace: (name, attempt, percent, fence) =>
-      link.pace(name, attempt, percent, fence),
-    look: order => link.look(order),
-    close: () => link.close(),
-    ...calls,
-  };
-}
-
 describe('ownership by epoch, fence and lease', () => {
   // Guards against two runs of a task, a start after an acknowledged end, an
   // over-committed worker, and accepted work that never ends.
@@ -65,7 +53,7 @@
   it('notices a look that does not carry the fence', async () => {
     const weakness: HostWeakness = {
       wrapLink: link =>
-        replace(link, {
+        replaceLinkCalls(link, {
           look: order => link.look({...order, fence: 0}),
           start: order => link.start({...order, fence: 0}),
           stop: (name, attempt) => link.stop(name, attempt, 0),
@@ -96,7 +84,7 @@
     const weakness: HostWeakness = {
       wrapLink: link => {
         let newest = 0;
-        return replace(link, {
+        return replaceLinkCalls(link, {
           look: async order => {
             const report = await link.look({
               ...order,
--- a/packages/cell-stand-ins/src/slow_log.test.ts
+++ b/packages/cell-stand-ins/src/slow_log.test.ts
@@ -1,9 +1,7 @@
 import type {ShardLog} from '@cardamomfield/cell-model';
-import {ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {expect, it} from 'vitest';
-import {MemoryShardStore} from './memory_shard_store.js';
+import {CellRig} from './cell_rig.js';
 import {createSubmission} from './plain_submission.js';
-import {SimulatedOwnerHost} from './simulated_owner_host.js';
 
 const ANSWER_MILLISECONDS = 200;
 const SUBMISSIONS = 40;
@@ -34,15 +32,10 @@
 // Load: a burst of submissions while the store answers fifty times slower than
 // usual. Guards against a queue of changes behind one append at a time.
 it('sends changes beside a slow append', async () => {
-  const base = ManualClock.create();
-  const random = SeededRandomSource.create(11);
   let most = 0;
-  const host = SimulatedOwnerHost.create({
-    name: 'host',
-    store: MemoryShardStore.create(),
-    workers: new Map(),
-    base,
-    random,
+  const rig = CellRig.create({
+    seed: 11,
+    workerIds: [],
     weakness: {
       wrapLog: log =>
         watchAppends(log, count => {
@@ -50,6 +43,8 @@
         }),
     },
   });
+  const {base} = rig;
+  const host = rig.addHost('host');
   void host.claim(0);
   await base.advance(2_300);
   host.log.answerMilliseconds = ANSWER_MILLISECONDS;
--- a/packages/cell-stand-ins/src/unreachable_worker.test.ts
+++ b/packages/cell-stand-ins/src/unreachable_worker.test.ts
@@ -1,12 +1,8 @@
-import type {WorkerLink} from '@cardamomfield/cell-model';
-import {ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {expect, it} from 'vitest';
+import {CellRig} from './cell_rig.js';
 import type {HostWeakness} from './host_weakness.js';
-import {MemoryCellWorker} from './memory_cell_worker.js';
-import {MemoryShardStore} from './memory_shard_store.js';
 import {createSubmission} from './plain_submission.js';
-import {PromiseLedger} from './promise_ledger.js';
-import {SimulatedOwnerHost} from './simulated_owner_host.js';
+import {replaceLinkCalls} from './replace_link_calls.js';
 
 const SEEDS = Array.from({length: 40}, (_, index) => index + 1);
 const LONG_LEASE_MILLISECONDS = 60_000;
@@ -19,51 +15,25 @@
 /** Leases that are longer than owners are told. */
 const LONG_LEASES: HostWeakness = {
   longestLeaseMilliseconds: LONG_LEASE_MILLISECONDS,
-  wrapLink: (link): WorkerLink => ({
-    start: order => link.start(order),
-    stop: (name, attempt, fence) => link.stop(name, attempt, fence),
-    pace: (name, attempt, percent, fence) =>
-      link.pace(name, attempt, percent, fence),
-    look: order =>
-      link.look({
-        ...order,
-        leaseEndWorkerMilliseconds:
-          order.leaseEndWorkerMilliseconds === undefined
-            ? undefined
-            : order.leaseEndWorkerMilliseconds + LONG_LEASE_MILLISECONDS,
-      }),
-    close: () => link.close(),
-  }),
+  wrapLink: link =>
+    replaceLinkCalls(link, {
+      look: order =>
+        link.look({
+          ...order,
+          leaseEndWorkerMilliseconds:
+            order.leaseEndWorkerMilliseconds === undefined
+              ? undefined
+              : order.leaseEndWorkerMilliseconds + LONG_LEASE_MILLISECONDS,
+        }),
+    }),
 };
 
 /** An owner dies, and its successor never reaches one of two workers. */
 async function play(seed: number, weakness: HostWeakness): Promise<string[]> {
-  const base = ManualClock.create();
-  const random = SeededRandomSource.create(seed);
-  const ledger = PromiseLedger.create();
-  const workers = new Map(
-    ['cut', 'near'].map(id => [
-      id,
-      MemoryCellWorker.create(
-        id,
-        9_000,
-        base,
-        random,
-        ledger,
-        () => 1,
-        weakness.longestLeaseMilliseconds,
-      ),
-    ]),
-  );
-  const options = {
-    store: MemoryShardStore.create(),
-    workers,
-    base,
-    random,
-    weakness,
-  };
-  const first = SimulatedOwnerHost.create({...options, name: 'first'});
-  const second = SimulatedOwnerHost.create({...options, name: 'second'});
+  const rig = CellRig.create({seed, workerIds: ['cut', 'near'], weakness});
+  const {base, workers, ledger} = rig;
+  const first = rig.addHost('first');
+  const second = rig.addHost('second');
   const faults = second.faults.get('cut');
   if (faults) faults.isCut = true;
   void first.claim(0);
