Search for later attempts of an adopted task also when the known one has ended

The host that adopted the request skipped the search, since the copy showed an ended attempt, and ordered attempt 2 again while the first order ran under another owner.

Change: an adopted task without a conclusion is searched for in any case; an ended attempt is kept when a complete search finds no later one.

Ruled out: two hosts that both adopt the request (only host 0 did), a killed host whose order was still on its way (the order had been taken by a living owner).

adopted_attempt.test.ts plays the six operations; red before, green after.

--- a/packages/requests/src/task_run.ts
+++ b/packages/requests/src/task_run.ts
@@ -129,7 +129,9 @@
   /** Goes on with what another coordinator began, as far as it got. */
   private async resume(): Promise<TaskConclusion | undefined> {
     await this.pause(ADOPTION_SETTLE_MILLISECONDS);
-    while (!this.task.hasEnded() && !(await this.findLatestAttempt())) {
+    // Also for an attempt that has ended: the earlier coordinator may have
+    // ordered the next one after it wrote the copy.
+    while (!(await this.findLatestAttempt())) {
       if (this.record.isHandedOver) return undefined;
       await this.pause(FIND_PAUSE_MILLISECONDS);
     }
@@ -147,13 +149,16 @@
       .filter(each => each.task.index === this.task.index)
       .sort((first, second) => second.task.attempt - first.task.attempt);
     const known = Math.max(this.task.attempt, 1);
-    if (latest && latest.task.attempt >= known) {
+    const hasEnded = this.task.hasEnded();
+    const firstUnknown = hasEnded ? known + 1 : known;
+    if (latest && latest.task.attempt >= firstUnknown) {
       this.task.resumeAttempt(latest.task.attempt);
       if (latest.update) this.applyUpdate(latest.update);
       if (latest.isLive) await this.adoptOwner(latest.reporter);
       return true;
     }
     if (!report.isComplete) return false;
+    if (hasEnded) return true;
     this.task.resumeAttempt(known);
     this.applyUpdate(this.lostUpdate());
     return true;
