--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -38,13 +38,13 @@
 const USUAL_FACTOR = 1.5;
 
 /** Appends in flight; the log recognises repeats of the last five. */
-const MAXIMUM_FLIGHTS = 4;
+const MAXIMUM_PENDING_APPENDS = 4;
 
 /** Pause of an append that overtook the one before it. */
 const REORDER_PAUSE_MILLISECONDS = 10;
 
 /** One append that has not succeeded yet. */
-interface Flight {
+interface PendingAppend {
   records: ShardRecord[];
   sequence: number;
   /** Monotonic time at which it was first sent. */
@@ -84,7 +84,7 @@
   private changed = new Set<string>();
   private waiters: Waiter[] = [];
   /** Appends without success so far, oldest first. */
-  private readonly flights: Flight[] = [];
+  private readonly pendingAppends: PendingAppend[] = [];
   /** Number of the batch that changes marked now will be part of. */
   private openBatch = 1;
   private provedAt: number;
@@ -174,7 +174,7 @@
   /** Appends until stopped. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      if (this.flights.length > 0) {
+      if (this.pendingAppends.length > 0) {
         await this.overlap();
       } else if (this.changed.size === 0) {
         this.resolveWaiters(this.openBatch - 1, Right(undefined));
@@ -217,7 +217,7 @@
 
   /** Sends changes beside an append that takes long. */
   private async overlap(): Promise<void> {
-    const newest = this.flights.at(-1);
+    const newest = this.pendingAppends.at(-1);
     if (!newest || this.changed.size === 0 || !this.mayOverlap()) {
       await this.wakeUp.wait();
       return;
@@ -232,7 +232,10 @@
    * doubt, so nothing is sent beside a call that takes longer than usual.
    */
   private mayOverlap(): boolean {
-    if (this.isLogFailing() || this.flights.length >= MAXIMUM_FLIGHTS) {
+    if (
+      this.isLogFailing() ||
+      this.pendingAppends.length >= MAXIMUM_PENDING_APPENDS
+    ) {
       return false;
     }
     return (
@@ -245,53 +248,53 @@
     const chunks = this.takeChunks();
     const batch = this.openBatch++;
     for (const [index, records] of chunks.entries()) {
-      const flight: Flight = {
+      const pending: PendingAppend = {
         records,
         sequence: this.nextSequence++,
         sentAt: this.options.clock.monotonicNow(),
         isDone: false,
         completedBatch: index === chunks.length - 1 ? batch : batch - 1,
       };
-      this.flights.push(flight);
-      this.pendingSince ??= flight.sentAt;
-      void this.append(flight);
+      this.pendingAppends.push(pending);
+      this.pendingSince ??= pending.sentAt;
+      void this.append(pending);
     }
   }
 
   /** Repeats an append until it or a later one has succeeded. */
-  private async append(flight: Flight): Promise<void> {
-    while (!flight.isDone && !this.isStopped) {
+  private async append(pending: PendingAppend): Promise<void> {
+    while (!pending.isDone && !this.isStopped) {
       // The log takes appends in their order: the oldest one is repeated first.
-      if (this.isLogFailing() && this.flights[0] !== flight) {
+      if (this.isLogFailing() && this.pendingAppends[0] !== pending) {
         await this.wakeUp.wait();
         continue;
       }
       const sentAt = this.options.clock.monotonicNow();
       const freezes = this.freezeCount;
       const result = await this.options.log.append(
-        flight.records,
+        pending.records,
         this.options.epoch,
-        flight.sequence,
+        pending.sequence,
       );
-      if (flight.isDone || this.isStopped) return;
+      if (pending.isDone || this.isStopped) return;
       if (isOutOfOrder(result)) {
         await this.options.clock.sleepUntil(
           this.options.clock.monotonicNow() + REORDER_PAUSE_MILLISECONDS,
         );
       } else if (await this.settle(result, sentAt, freezes)) {
-        this.land(flight);
+        this.complete(pending);
       }
     }
   }
 
   /** An append that succeeded proves that those before it have too. */
-  private land(landed: Flight): void {
-    const index = this.flights.indexOf(landed);
-    for (const flight of this.flights.splice(0, index + 1)) {
-      flight.isDone = true;
+  private complete(newest: PendingAppend): void {
+    const index = this.pendingAppends.indexOf(newest);
+    for (const pending of this.pendingAppends.splice(0, index + 1)) {
+      pending.isDone = true;
     }
-    this.pendingSince = this.flights[0]?.sentAt;
-    this.resolveWaiters(landed.completedBatch, Right(undefined));
+    this.pendingSince = this.pendingAppends[0]?.sentAt;
+    this.resolveWaiters(newest.completedBatch, Right(undefined));
     this.wakeUp.notify();
   }
 
