Remember sizes without room within a pass

Cause: a pass looked at every worker for every waiting task, up to 250 times a second. After a burst on 378 workers the backlog made each pass longer than the work it placed, and the owner answered nobody.

Change: sizes that fit nowhere are remembered within a pass; workers are grouped by service once; a pass is followed by a pause of four times its length; making room and asking for advice in vain are tried again after a short pause; sessions are checked every 50 ms.

--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -18,6 +18,9 @@
 /** Share of the named workers that is taken to be approved. */
 const APPROVED_SHARE = 0.3;
 
+/** A step without a useful question is looked at again after this pause. */
+const RECHECK_MILLISECONDS = 40;
+
 /** A step is asked for once its turn comes within this share of a ticket. */
 const AHEAD_SHARE = 0.5;
 
@@ -41,6 +44,7 @@
   ): AdviceWish | undefined {
     const {advice} = step;
     if (advice.isAsking || advice.notBefore > now) return undefined;
+    advice.notBefore = now + RECHECK_MILLISECONDS;
     const candidates = workers.filter(worker => this.mayName(step, worker));
     if (candidates.length === 0) return undefined;
     const roomy = candidates
--- a/packages/cell-scheduler/src/preemption_policy.ts
+++ b/packages/cell-scheduler/src/preemption_policy.ts
@@ -12,6 +12,12 @@
 /** Room that was made for a step is kept for it this long. */
 const HOLD_MILLISECONDS = 2_500;
 
+/**
+ * A step for which no room could be made is tried again after this pause, short
+ * against the waits above; each try goes over all runs of the cell.
+ */
+const RETRY_MILLISECONDS = 100;
+
 /**
  * Makes room for tasks that wait although they come before tasks that run:
  * services that lost a task, and urgent work in a full cell.
@@ -34,6 +40,7 @@
     now: number,
   ): Run[] {
     if (step.specification.isGang || step.preemptedUntil > now) return [];
+    if (step.preemptionTriedUntil > now) return [];
     const limit = step.specification.isService
       ? SERVICE_WAIT_MILLISECONDS
       : WAIT_MILLISECONDS;
@@ -51,6 +58,7 @@
       victims.push(...runs);
     }
     if (victims.length > 0) step.preemptedUntil = now + HOLD_MILLISECONDS;
+    else step.preemptionTriedUntil = now + RETRY_MILLISECONDS;
     return victims;
   }
 
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -1,4 +1,5 @@
 import {AdvicePlanner} from './advice_planner.js';
+import {FullShapes} from './full_shapes.js';
 import {isFresh} from './is_fresh.js';
 import type {Placement} from './placement.js';
 import {PreemptionPolicy} from './preemption_policy.js';
@@ -12,6 +13,11 @@
 
 /** Decides which waiting tasks start where. */
 export class Scheduler {
+  /** Sizes without room in the present pass. */
+  private full = FullShapes.create();
+  /** Workers by service in the present pass. */
+  private byService = new Map<string, WorkerState[]>();
+
   private constructor(
     private readonly state: ShardState,
     private readonly order: WaitingOrder,
@@ -39,6 +45,8 @@
     nowUnixMilliseconds: number,
     place: (placement: Placement) => void,
   ): SchedulingPass {
+    this.full = FullShapes.create();
+    this.byService = groupByService(this.state.workers.values());
     const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(step =>
       step.tasks.some(task => isWaiting(task, now)),
     );
@@ -121,9 +129,21 @@
     now: number,
     place: (placement: Placement) => void,
   ): Placement[] {
+    // A worker that is held for the step is missing from what is known as full.
+    const mayHoldRoom = step.preemptedUntil > now;
+    if (!mayHoldRoom && this.full.covers(step)) return [];
+    let candidates = workers.filter(
+      worker =>
+        this.choice.mayServe(step, worker, now) &&
+        this.choice.hasRoom(step, worker),
+    );
+    if (candidates.length === 0 && isLimitedByRoomOnly(step)) {
+      this.full.note(step);
+    }
     const placed: Placement[] = [];
     for (const task of waiting) {
-      const allowed = workers.filter(worker =>
+      if (candidates.length === 0) break;
+      const allowed = candidates.filter(worker =>
         this.choice.isAllowed(step, task, worker, now),
       );
       const rack = step.specification.isTightlyCoupled ? this.rackOf(step) : '';
@@ -132,6 +152,9 @@
       const placement = this.placement(step, task, worker);
       place(placement);
       placed.push(placement);
+      if (!this.choice.mayTakeMore(step, worker)) {
+        candidates = candidates.filter(other => other !== worker);
+      }
     }
     return placed;
   }
@@ -179,10 +202,7 @@
   }
 
   private serviceWorkers(step: StepState): WorkerState[] {
-    const {service} = step.submission.queue;
-    return [...this.state.workers.values()].filter(
-      worker => worker.description.service === service,
-    );
+    return this.byService.get(step.submission.queue.service) ?? [];
   }
 
   /** Workers that may run the step, also while their tickets have expired. */
@@ -206,6 +226,29 @@
   }
 }
 
+function groupByService(
+  workers: Iterable<WorkerState>,
+): Map<string, WorkerState[]> {
+  const groups = new Map<string, WorkerState[]>();
+  for (const worker of workers) {
+    const {service} = worker.description;
+    const group = groups.get(service);
+    if (group) group.push(worker);
+    else groups.set(service, [worker]);
+  }
+  return groups;
+}
+
+/** True when only room decides which workers of the service may run a step. */
+function isLimitedByRoomOnly(step: StepState): boolean {
+  const {requiredLabel, maximumPerWorker} = step.specification;
+  return (
+    requiredLabel === '' &&
+    maximumPerWorker === 0 &&
+    step.submission.queue.advice === undefined
+  );
+}
+
 function isWaiting(task: TaskState, now: number): boolean {
   return task.phase === 'waiting' && task.notBefore <= now;
 }
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -12,6 +12,8 @@
   gangAttempt = 0;
   /** Monotonic deadline before which no further room is made for the step. */
   preemptedUntil = 0;
+  /** Monotonic deadline before which making room is not tried again. */
+  preemptionTriedUntil = 0;
   /** Failed runs of a gang as a whole. */
   gangFailures = 0;
 
--- a/packages/cell-scheduler/src/worker_choice.ts
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -49,6 +49,15 @@
     );
   }
 
+  /** False when no further task of the step may go to the worker. */
+  mayTakeMore(step: StepState, worker: WorkerState): boolean {
+    const {maximumPerWorker} = step.specification;
+    if (maximumPerWorker > 0 && step.countOn(worker.id) >= maximumPerWorker) {
+      return false;
+    }
+    return this.hasRoom(step, worker);
+  }
+
   hasRoom(step: StepState, worker: WorkerState): boolean {
     return this.fitCount(step, worker) > 0;
   }
--- a/packages/cell-scheduler/src/worker_state.ts
+++ b/packages/cell-scheduler/src/worker_state.ts
@@ -20,7 +20,14 @@
   heldFor: StepState | undefined;
   heldUntil = 0;
 
-  private constructor(public description: WorkerDescription) {}
+  /** The rack that the worker's labels name; empty without one. */
+  rack = '';
+  private current: WorkerDescription;
+
+  private constructor(description: WorkerDescription) {
+    this.current = description;
+    this.description = description;
+  }
 
   static create(description: WorkerDescription): WorkerState {
     return new WorkerState(description);
@@ -30,8 +37,13 @@
     return this.description.id;
   }
 
-  get rack(): string {
-    return this.description.labels.find(label => RACK.test(label)) ?? '';
+  get description(): WorkerDescription {
+    return this.current;
+  }
+
+  set description(description: WorkerDescription) {
+    this.current = description;
+    this.rack = description.labels.find(label => RACK.test(label)) ?? '';
   }
 
   add(run: Run): void {
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -45,6 +45,15 @@
 /** Changes within this span are scheduled together. */
 const COALESCE_MILLISECONDS = 4;
 
+/** A pass is followed by a pause of this many times its own length. */
+const PASS_PAUSE_FACTOR = 4;
+
+/** Longest pause between two passes while changes wait. */
+const LONGEST_PASS_PAUSE_MILLISECONDS = 100;
+
+/** Sessions are checked for drains, listings and their end this often. */
+const SESSION_CHECK_MILLISECONDS = 50;
+
 /** Clocks of workers may run this much slower than the owner's. */
 const SLOWEST_WORKER_RATE = 0.98;
 
@@ -83,6 +92,9 @@
   private readonly stopping = new AbortController();
   private readonly earlierLeasesEndAt: number;
   private hasChanged = true;
+  private passPauseMilliseconds = COALESCE_MILLISECONDS;
+  /** Monotonic time of the next check of all sessions. */
+  private sessionCheckAt = 0;
 
   private constructor(private readonly options: ShardOwnerOptions) {
     const {claim, clock, logger, metrics} = options;
@@ -298,17 +310,23 @@
       if (!this.hasChanged) {
         await this.wakeUp.wait(clock.monotonicNow() + TICK_MILLISECONDS);
       }
-      await clock.sleepUntil(clock.monotonicNow() + COALESCE_MILLISECONDS);
+      await clock.sleepUntil(clock.monotonicNow() + this.passPauseMilliseconds);
       if (this.stopping.signal.aborted) return;
       this.hasChanged = false;
-      this.tick();
+      const startedAt = clock.monotonicNow();
+      if (startedAt >= this.sessionCheckAt) this.tick(startedAt);
       this.schedule();
+      const spent = clock.monotonicNow() - startedAt;
+      this.passPauseMilliseconds = Math.min(
+        LONGEST_PASS_PAUSE_MILLISECONDS,
+        Math.max(COALESCE_MILLISECONDS, spent * PASS_PAUSE_FACTOR),
+      );
     }
   }
 
-  private tick(): void {
+  private tick(now: number): void {
     const {clock} = this.options;
-    const now = clock.monotonicNow();
+    this.sessionCheckAt = now + SESSION_CHECK_MILLISECONDS;
     for (const [id, session] of this.sessions) {
       session.checkListing(now);
       session.evacuate(now);
