Call workers through relay hosts in large cells

Cause: one process carried the connections, headers and answers of every worker.

Change: the package worker-relay. Where direct calls would take a tenth of the owner's processors, looks, starts and stops go in batches over one channel to each of a few relay hosts (two or more a zone, chosen by name and strength), which keep the HTTP connections to the workers also when the owner changes. Relays decide nothing: fences, leases and acknowledgements stay the owner's. A relay serves only the highest epoch and closes its channels after a freeze of its process, so that nothing that waited meanwhile goes out late. Without a relay calls go directly. Small cells are called directly as before.

Weighed: several shards (each submission sees a part of the capacity, data racks lie in other shards, moves of racks must be fenced); a cheaper HTTP client (does not lower the bytes).

Tests: seven over real sockets; with the freeze check or the closing of lower epochs taken out, one each goes red. Malformed messages on a relay channel and on the peers' address end neither the process nor other channels.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -8,6 +8,11 @@
   type ShardClaim,
   ShardOwner,
 } from '@cardamomfield/shard-owner';
+import {
+  RelayChannel,
+  RelayServer,
+  RelayedWorkerLinks,
+} from '@cardamomfield/worker-relay';
 import {type Either, Left, Right} from 'purify-ts';
 import type {CellPorts} from './cell_ports.js';
 import type {CellSettings} from './cell_settings.js';
@@ -69,6 +74,7 @@
   readonly gateway: ShardGateway;
   readonly membership: Membership;
   private readonly election: OwnerElection;
+  private readonly relayServer: RelayServer;
   private readonly stopping = new AbortController();
   private owner: ShardOwner | undefined;
 
@@ -103,6 +109,10 @@
       onNewerDesiredState: address => void this.introduce(address),
       onClaimed: claim => this.becomeOwner(claim),
     });
+    this.relayServer = RelayServer.create({links: ports.links, clock, logger});
+    options.server.handleUpgrade(RelayChannel.protocol, socket =>
+      this.relayServer.serve(socket),
+    );
     this.addMethods(options.server);
   }
 
@@ -210,6 +220,7 @@
     this.stopping.abort();
     this.election.stop();
     this.dropOwner();
+    this.relayServer.close();
   }
 
   private dropOwner(): void {
@@ -250,10 +261,20 @@
   private becomeOwner(claim: ShardClaim): void {
     const {ports, clock, logger, metrics, settings} = this.options;
     if (this.stopping.signal.aborted) return;
+    const links = RelayedWorkerLinks.create({
+      direct: ports.links,
+      hosts: () => this.membership.answeringPeers(),
+      ownerName: settings.hostName,
+      ownerMilliCores: settings.milliCores,
+      epoch: claim.owner.epoch,
+      clock,
+      logger,
+      metrics,
+    });
     const owner = ShardOwner.create({
       claim,
       log: ports.log,
-      links: ports.links,
+      links,
       directory: ports.workers,
       adviceChannels: () => this.adviceChannels(),
       clock,
@@ -267,7 +288,7 @@
     this.owner = owner;
     metrics.increment('shard_claims');
     metrics.gauge('owned_epoch', claim.owner.epoch);
-    void owner.run();
+    void owner.run().finally(() => links.close());
     void this.announceOwner(claim);
     void this.yieldToBetter(owner);
   }
--- a/packages/cell-host/src/peer_server.ts
+++ b/packages/cell-host/src/peer_server.ts
@@ -1,4 +1,6 @@
 import {type Server, createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {type TypedError, toTypedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import {App} from '@tinyhttp/app';
@@ -73,6 +75,24 @@
     });
   }
 
+  /** Serves the byte streams that other hosts open by an HTTP upgrade. */
+  handleUpgrade(protocol: string, handler: (socket: Duplex) => void): void {
+    this.server.on('upgrade', (request, socket, head) => {
+      if (request.headers.upgrade !== protocol) {
+        this.logger.warn('upgrade of a host malformed', {
+          protocol: request.headers.upgrade,
+        });
+        socket.destroy();
+        return;
+      }
+      socket.write(
+        `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${protocol}\r\n\r\n`,
+      );
+      if (head.length > 0) socket.unshift(head);
+      handler(socket);
+    });
+  }
+
   listen(address: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -80,6 +100,11 @@
     });
   }
 
+  /** The port that the server listens on. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
--- /dev/null
+++ b/packages/worker-relay/src/relay_channel.ts
@@ -0,0 +1,188 @@
+import {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {HostRecord, WorkerDescription} from '@cardamomfield/cell-model';
+import type {Clock} from '@cardamomfield/clock';
+import {
+  type TypedError,
+  UnavailableError,
+  UncertainError,
+} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {JSONRPCClient, isJSONRPCResponse} from 'json-rpc-2.0';
+import {type Either, Left, Right} from 'purify-ts';
+import {Client} from 'undici';
+import type {z} from 'zod';
+import {FrameStream} from './frame_stream.js';
+import {RelayMethod} from './relay_method.js';
+
+/** Protocol name of the HTTP upgrade that opens a channel. */
+const PROTOCOL = 'cardamomfield-relay';
+
+/** A host that does not accept a channel within this is passed over. */
+const CONNECT_TIMEOUT_MILLISECONDS = 700;
+
+/**
+ * A channel on which a call got no answer in time, and nothing else arrived for
+ * this long either, is taken for broken.
+ */
+const SILENCE_MILLISECONDS = 600;
+
+interface RelayChannelOptions {
+  host: HostRecord;
+  epoch: number;
+  ownerName: string;
+  clock: Clock;
+  logger: Logger;
+  /** Called once when the channel cannot be used any more. */
+  onClosed: () => void;
+}
+
+/** One owner's channel to one relay host. */
+export class RelayChannel {
+  static readonly protocol = PROTOCOL;
+  private readonly client: JSONRPCClient<void>;
+  private readonly opened: Promise<Either<TypedError, FrameStream>>;
+  private readonly http: Client;
+  private stream: FrameStream | undefined;
+  private handles = new Map<WorkerDescription, number>();
+  private heardAt: number;
+  private nextId = 1;
+  private isClosed = false;
+
+  private constructor(private readonly options: RelayChannelOptions) {
+    this.heardAt = options.clock.monotonicNow();
+    this.client = new JSONRPCClient<void>(
+      message => this.stream?.send(message),
+      () => this.nextId++,
+    );
+    this.http = new Client(`http://${options.host.address}`, {
+      connect: {timeout: CONNECT_TIMEOUT_MILLISECONDS},
+      headersTimeout: CONNECT_TIMEOUT_MILLISECONDS,
+    });
+    this.opened = this.open();
+  }
+
+  static create(options: RelayChannelOptions): RelayChannel {
+    return new RelayChannel(options);
+  }
+
+  get hostName(): string {
+    return this.options.host.name;
+  }
+
+  get isOpen(): boolean {
+    return !this.isClosed;
+  }
+
+  /**
+   * `UnavailableError`: nothing was sent. `UncertainError`: the call may have
+   * been or may yet be carried out.
+   */
+  async call<Result extends z.ZodType>(
+    worker: WorkerDescription,
+    method: string,
+    parameters: Record<string, unknown>,
+    result: Result,
+    timeoutMilliseconds: number,
+  ): Promise<Either<TypedError, z.infer<Result>>> {
+    if (!this.stream) {
+      const opened = await this.opened;
+      if (opened.isLeft()) return Left(opened.extract() as TypedError);
+    }
+    if (this.isClosed) {
+      return Left(UnavailableError.create('the relay channel is closed'));
+    }
+    const sentAt = this.options.clock.monotonicNow();
+    try {
+      const answer: unknown = await this.client
+        .timeout(timeoutMilliseconds)
+        .request(method, {handle: this.handleOf(worker), ...parameters});
+      const parsed = result.safeParse(answer);
+      if (parsed.success) return Right(parsed.data);
+      return Left(
+        UncertainError.create(`relay ${this.hostName} answered malformed`, {
+          method,
+        }),
+      );
+    } catch (thrown) {
+      this.checkSilence(sentAt);
+      return Left(
+        UncertainError.create(
+          `no answer through relay ${this.hostName}: ${String(thrown)}`,
+        ),
+      );
+    }
+  }
+
+  close(): void {
+    this.end('closed by this host');
+  }
+
+  private async open(): Promise<Either<TypedError, FrameStream>> {
+    const {epoch, ownerName} = this.options;
+    try {
+      const {socket} = await this.http.upgrade({
+        path: '/relay',
+        protocol: PROTOCOL,
+      });
+      if (this.isClosed) {
+        socket.destroy();
+        return Left(UnavailableError.create('the relay channel is closed'));
+      }
+      this.stream = this.streamOver(socket);
+      this.heardAt = this.options.clock.monotonicNow();
+      // Calls sent after this one on the channel are served after it.
+      void this.client
+        .timeout(CONNECT_TIMEOUT_MILLISECONDS)
+        .request(RelayMethod.open, {epoch, ownerName})
+        .then(undefined, (thrown: unknown) => this.end(String(thrown)));
+      return Right(this.stream);
+    } catch (thrown) {
+      this.end(String(thrown));
+      return Left(
+        UnavailableError.create(
+          `relay ${this.hostName} not reached: ${String(thrown)}`,
+        ),
+      );
+    }
+  }
+
+  private streamOver(socket: Duplex): FrameStream {
+    if (socket instanceof Socket) socket.setNoDelay(true);
+    return FrameStream.create({
+      socket,
+      batchMilliseconds: 0,
+      onMessage: message => {
+        this.heardAt = this.options.clock.monotonicNow();
+        if (isJSONRPCResponse(message)) this.client.receive(message);
+      },
+      onClosed: cause => this.end(cause?.message ?? 'closed'),
+    });
+  }
+
+  /** The worker's number on this channel, announced before its first use. */
+  private handleOf(worker: WorkerDescription): number {
+    const known = this.handles.get(worker);
+    if (known !== undefined) return known;
+    const handle = this.nextId++;
+    this.handles.set(worker, handle);
+    this.client.notify(RelayMethod.openWorker, {handle, worker});
+    return handle;
+  }
+
+  private checkSilence(sentAt: number): void {
+    const now = this.options.clock.monotonicNow();
+    const silence = now - Math.max(this.heardAt, sentAt - SILENCE_MILLISECONDS);
+    if (silence > SILENCE_MILLISECONDS) this.end('nothing heard');
+  }
+
+  private end(cause: string): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.options.logger.info('relay lost', {relay: this.hostName, cause});
+    this.stream?.close();
+    void this.http.destroy();
+    this.client.rejectAllPendingRequests(cause);
+    this.options.onClosed();
+  }
+}
--- /dev/null
+++ b/packages/worker-relay/src/relay_method.ts
@@ -0,0 +1,9 @@
+/** Methods of a channel from a shard's owner to a relay host. */
+export const RelayMethod = {
+  open: 'relay.open',
+  openWorker: 'worker.open',
+  start: 'worker.start',
+  stop: 'worker.stop',
+  pace: 'worker.pace',
+  look: 'worker.look',
+} as const;
--- /dev/null
+++ b/packages/worker-relay/src/relay_server.ts
@@ -0,0 +1,200 @@
+import type {Duplex} from 'node:stream';
+import type {
+  WorkerDescription,
+  WorkerLink,
+  WorkerLinks,
+} from '@cardamomfield/cell-model';
+import type {Clock} from '@cardamomfield/clock';
+import {ConflictError, type TypedError} from '@cardamomfield/errors';
+import type {Logger} from '@cardamomfield/logger';
+import {JSONRPCServer, isJSONRPCRequest} from 'json-rpc-2.0';
+import type {Either} from 'purify-ts';
+import type {z} from 'zod';
+import {FrameStream} from './frame_stream.js';
+import {FreezeGuard} from './freeze_guard.js';
+import {RelayFailure} from './relay_failure.js';
+import {RelayMessages} from './relay_messages.js';
+import {RelayMethod} from './relay_method.js';
+import {WorkerLinkPool} from './worker_link_pool.js';
+
+/** Answers within this span share a frame; it adds to the wait of an answer. */
+const BATCH_MILLISECONDS = 4;
+
+interface RelayServerOptions {
+  links: WorkerLinks;
+  clock: Clock;
+  logger: Logger;
+}
+
+/** One owner's channel to this host. */
+interface OwnerChannel {
+  epoch: number;
+  stream: FrameStream;
+  workers: Map<number, WorkerDescription>;
+}
+
+/**
+ * Carries out an owner's calls to workers. Only the highest epoch seen is
+ * served. After a freeze of this process all channels are closed, so that no
+ * call that waited meanwhile goes out late.
+ */
+export class RelayServer {
+  private readonly methods = new JSONRPCServer<OwnerChannel>({
+    errorListener: (message, data) =>
+      this.options.logger.warn('relay call failed', {
+        cause: `${message} ${String(data)}`,
+      }),
+  });
+  private readonly pool: WorkerLinkPool;
+  private readonly guard: FreezeGuard;
+  private readonly channels = new Set<OwnerChannel>();
+  private highestEpoch = 0;
+
+  private constructor(private readonly options: RelayServerOptions) {
+    this.pool = WorkerLinkPool.create(options.links, options.clock);
+    this.guard = FreezeGuard.create(options.clock);
+    this.addMethods();
+  }
+
+  static create(options: RelayServerOptions): RelayServer {
+    return new RelayServer(options);
+  }
+
+  /** Serves a channel that another host has opened. */
+  serve(socket: Duplex): void {
+    const {logger} = this.options;
+    const channel: OwnerChannel = {
+      epoch: 0,
+      workers: new Map(),
+      stream: FrameStream.create({
+        socket,
+        batchMilliseconds: BATCH_MILLISECONDS,
+        onMessage: message => this.receive(channel, message),
+        onClosed: cause => {
+          this.channels.delete(channel);
+          logger.info('relay channel closed', {
+            epoch: channel.epoch,
+            cause: cause?.message,
+          });
+        },
+      }),
+    };
+    this.channels.add(channel);
+  }
+
+  close(): void {
+    this.closeChannels();
+    this.pool.close();
+  }
+
+  private receive(channel: OwnerChannel, message: unknown): void {
+    if (this.guard.hasFrozen()) {
+      this.options.logger.warn('relay channels closed after a freeze', {
+        channels: this.channels.size,
+      });
+      this.closeChannels();
+      return;
+    }
+    if (!isJSONRPCRequest(message)) {
+      this.options.logger.warn('relay message malformed', {
+        epoch: channel.epoch,
+      });
+      channel.stream.close();
+      return;
+    }
+    void this.methods.receive(message, channel).then(response => {
+      if (response) channel.stream.send(response);
+    });
+  }
+
+  private closeChannels(): void {
+    for (const channel of this.channels) channel.stream.close();
+  }
+
+  private addMethods(): void {
+    this.add(RelayMethod.open, RelayMessages.open, async (call, channel) => {
+      if (call.epoch < this.highestEpoch) {
+        throw ConflictError.create('this host serves a newer owner', {
+          epoch: this.highestEpoch,
+        });
+      }
+      this.highestEpoch = call.epoch;
+      channel.epoch = call.epoch;
+      for (const other of this.channels) {
+        if (other.epoch < call.epoch) other.stream.close();
+      }
+      this.options.logger.info('relay channel opened', {
+        owner: call.ownerName,
+        epoch: call.epoch,
+      });
+      return {};
+    });
+    this.add(
+      RelayMethod.openWorker,
+      RelayMessages.openWorker,
+      async ({handle, worker}, channel) => {
+        channel.workers.set(handle, worker);
+        return {};
+      },
+    );
+    this.add(RelayMethod.start, RelayMessages.start, (call, channel) =>
+      this.linkOf(call.handle, channel).start(call.order),
+    );
+    this.add(RelayMethod.stop, RelayMessages.stop, async (call, channel) =>
+      encode(
+        await this.linkOf(call.handle, channel).stop(
+          call.taskName,
+          call.attempt,
+          call.fence,
+        ),
+      ),
+    );
+    this.add(RelayMethod.pace, RelayMessages.pace, async (call, channel) =>
+      encode(
+        await this.linkOf(call.handle, channel).pace(
+          call.taskName,
+          call.attempt,
+          call.percent,
+          call.fence,
+        ),
+      ),
+    );
+    this.add(
+      RelayMethod.look,
+      RelayMessages.look,
+      async ({handle, order}, channel) => {
+        const report = await this.linkOf(handle, channel).look({
+          ...order,
+          leaseEndWorkerMilliseconds: order.leaseEndWorkerMilliseconds,
+        });
+        return report.isRight()
+          ? {report: report.extract()}
+          : encode(report as Either<TypedError, never>);
+      },
+    );
+  }
+
+  private add<Parameters extends z.ZodType>(
+    method: string,
+    parameters: Parameters,
+    handler: (
+      call: z.infer<Parameters>,
+      channel: OwnerChannel,
+    ) => Promise<unknown>,
+  ): void {
+    this.methods.addMethod(method, (raw: unknown, channel: OwnerChannel) =>
+      handler(parameters.parse(raw), channel),
+    );
+  }
+
+  private linkOf(handle: number, channel: OwnerChannel): WorkerLink {
+    const worker = channel.workers.get(handle);
+    if (!worker) throw new RangeError(`no worker has the handle ${handle}`);
+    return this.pool.linkTo(worker);
+  }
+}
+
+function encode(result: Either<TypedError, void>) {
+  if (result.isRight()) return {};
+  return {failure: RelayFailure.encode(result.extract() as TypedError)};
+}
