Keep one unexpected error to one step and one task

An exception while one step was placed ended the owner's scheduling loop as an unhandled rejection, and with it the process; the next owner restores the same records and would end the same way, host after host.

Test: with the former scheduler the pass throws.

--- a/packages/cell-scheduler/src/scheduler.test.ts
+++ b/packages/cell-scheduler/src/scheduler.test.ts
@@ -1,6 +1,7 @@
-import {describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it, vi} from 'vitest';
 import {CellFixture} from './cell_fixture.js';
 import {createSubmission} from './step_fixture.js';
+import {WorkerChoice} from './worker_choice.js';
 
 const ADVICE = {
   decisionMilliseconds: 600,
@@ -9,6 +10,30 @@
 };
 
 describe('Scheduler', () => {
+  afterEach(() => vi.restoreAllMocks());
+
+  // Guards against one submission that ends the owner, and after it each next
+  // owner, which reads the same records.
+  it('sets a step aside that raises an unexpected error', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w');
+    cell.state.add(createSubmission('a', {}, {priority: 0}));
+    cell.state.add(createSubmission('b', {}));
+    const choose = WorkerChoice.prototype.choose;
+    const spy = vi
+      .spyOn(WorkerChoice.prototype, 'choose')
+      .mockImplementation(function (this: WorkerChoice, step, ...others) {
+        if (step.submission.id === 'a') throw new RangeError('unexpected');
+        return choose.call(this, step, ...others);
+      });
+    const pass = cell.pass(0);
+    expect(pass.placements.map(({step}) => step.submission.id)).toEqual(['b']);
+    expect(pass.faults.map(({step}) => step.submission.id)).toEqual(['a']);
+    spy.mockRestore();
+    expect(cell.pass(1).placements).toHaveLength(0);
+    expect(cell.pass(6_000).placements).toHaveLength(1);
+  });
+
   // Guards against over-committed workers.
   it('places no more than a worker holds', () => {
     const cell = CellFixture.create();
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -11,6 +11,12 @@
 import type {WorkerChoice} from './worker_choice.js';
 import type {WorkerState} from './worker_state.js';
 
+/**
+ * A step that raised an unexpected error is tried again after this pause; long
+ * enough that its log lines stay few.
+ */
+const SET_ASIDE_MILLISECONDS = 5_000;
+
 /** Decides which waiting tasks start where. */
 export class Scheduler {
   /** Sizes without room in the present pass. */
@@ -47,8 +53,10 @@
   ): SchedulingPass {
     this.full = FullShapes.create();
     this.byService = groupByService(this.state.workers.values());
-    const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(step =>
-      step.tasks.some(task => isWaiting(task, now)),
+    const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(
+      step =>
+        step.setAsideUntil <= now &&
+        step.tasks.some(task => isWaiting(task, now)),
     );
     // From here on a task's waiting time counts.
     for (const task of ready.flatMap(step => step.tasks)) {
@@ -58,14 +66,35 @@
       placements: [],
       adviceWishes: [],
       preemptions: [],
+      faults: [],
     };
     for (const step of this.order.sort(ready, nowUnixMilliseconds)) {
-      this.placeStep(step, now, result, place);
+      this.guard(step, now, result, () =>
+        this.placeStep(step, now, result, place),
+      );
     }
     this.askAhead(now, nowUnixMilliseconds, result);
     return result;
   }
 
+  /**
+   * An unexpected error concerns one step only: without this it would end the
+   * owner, and the next one, which reads the same records.
+   */
+  private guard(
+    step: StepState,
+    now: number,
+    result: SchedulingPass,
+    work: () => void,
+  ): void {
+    try {
+      work();
+    } catch (cause) {
+      step.setAsideUntil = now + SET_ASIDE_MILLISECONDS;
+      result.faults.push({step, cause});
+    }
+  }
+
   private placeStep(
     step: StepState,
     now: number,
@@ -111,14 +140,17 @@
   ): void {
     for (const step of this.state.upcomingSteps(nowUnixMilliseconds)) {
       if (!step.submission.queue.advice) continue;
-      if (!this.advice.isDueAhead(step, now)) continue;
-      const wish = this.advice.wishFor(
-        step,
-        step.tasks.length,
-        this.serviceWorkers(step),
-        now,
-      );
-      if (wish) result.adviceWishes.push(wish);
+      if (step.setAsideUntil > now) continue;
+      this.guard(step, now, result, () => {
+        if (!this.advice.isDueAhead(step, now)) return;
+        const wish = this.advice.wishFor(
+          step,
+          step.tasks.length,
+          this.serviceWorkers(step),
+          now,
+        );
+        if (wish) result.adviceWishes.push(wish);
+      });
     }
   }
 
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -14,6 +14,8 @@
   preemptedUntil = 0;
   /** Monotonic deadline before which making room is not tried again. */
   preemptionTriedUntil = 0;
+  /** Monotonic deadline before which the step is passed over after an error. */
+  setAsideUntil = 0;
   /** Failed runs of a gang as a whole. */
   gangFailures = 0;
 
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -357,6 +357,13 @@
       clock.wallNow(),
       placement => runs.push(this.book.begin(placement)),
     );
+    for (const {step, cause} of pass.faults) {
+      this.options.metrics.increment('steps_set_aside');
+      this.options.logger.error('step set aside after an unexpected error', {
+        step: step.name,
+        cause: String(cause),
+      });
+    }
     this.desk.send(pass.adviceWishes);
     this.options.metrics.increment('runs_preempted', pass.preemptions.length);
     for (const run of pass.preemptions) {
