--- a/packages/clock/src/notifier.ts
+++ b/packages/clock/src/notifier.ts
@@ -2,7 +2,7 @@
 
 /** Lets tasks wait for a change that another task announces. */
 export class Notifier {
-  private controller = new AbortController();
+  private wakers = new Set<() => void>();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -10,12 +10,12 @@
     return new Notifier(clock);
   }
 
-  /** Wakes every task that waits now. */
+  /** Wakes every task that waits now; costs nothing while none does. */
   notify(): void {
-    const woken = this.controller;
-    this.controller = new AbortController();
-    // A given reason spares an exception with its stack for each wake-up.
-    woken.abort('notified');
+    if (this.wakers.size === 0) return;
+    const woken = this.wakers;
+    this.wakers = new Set();
+    for (const wake of woken) wake();
   }
 
   /**
@@ -23,15 +23,16 @@
    * between a check and this call is not missed as long as no `await` lies
    * between them.
    */
-  wait(deadline = Infinity): Promise<void> {
-    if (deadline === Infinity) return this.waitForever();
-    return this.clock.sleepUntil(deadline, this.controller.signal);
-  }
-
-  private waitForever(): Promise<void> {
-    const signal = this.controller.signal;
-    return new Promise(resolve =>
-      signal.addEventListener('abort', () => resolve(), {once: true}),
-    );
+  async wait(deadline = Infinity): Promise<void> {
+    if (deadline === Infinity) {
+      await new Promise<void>(resolve => this.wakers.add(resolve));
+      return;
+    }
+    const controller = new AbortController();
+    // A given reason spares an exception with its stack for each wake-up.
+    const wake = () => controller.abort('notified');
+    this.wakers.add(wake);
+    await this.clock.sleepUntil(deadline, controller.signal);
+    this.wakers.delete(wake);
   }
 }
