Watch the owner through its candidates and share counts of waiting work

Cause: every host asked the owner itself: 143 pings a second at 97 hosts, some 77 counts of waiting submissions, and after a claim the answers to its news carried all hosts and the desired state. A candidate that did not hear the owner asked all hosts at once, every 250 ms.

Change: hosts that are no candidates ask a candidate; a silent owner is asked after at six hosts; each near change of the owner doubles the silence that the next one needs (twice at most); news carry the owner alone; a count is shared for 0.8 s on each host. Broken calls of hosts are logged as others are.

Test: 50 callers a second make two calls a second at most, and no count is older than the 2 s that callers allow. The doubling has no test of its own.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -299,9 +299,9 @@
     for (const host of this.membership.answeringPeers()) {
       void peers.call(
         host.address,
-        PeerMethod.introduce,
-        {host: this.membership.self, owner: claim.owner},
-        PeerMessages.introduceResult,
+        PeerMethod.news,
+        {owner: claim.owner},
+        PeerMessages.empty,
         INTRODUCE_TIMEOUT_MILLISECONDS,
       );
     }
@@ -348,8 +348,14 @@
         heardMillisecondsAgo: this.owner
           ? 0
           : Math.min(clock.monotonicNow() - this.membership.heardOwnerAt, 1e9),
+        desiredStateVersion: this.desiredState.version,
+        owner: this.membership.owner,
       }),
     );
+    server.handle(PeerMethod.news, PeerMessages.news, async call => {
+      this.membership.takeOwner(call.owner, 'news');
+      return Right({});
+    });
     server.handle(PeerMethod.introduce, PeerMessages.introduce, async call => {
       this.membership.takeHost(call.host);
       if (call.owner) this.membership.takeOwner(call.owner, 'news');
--- a/packages/cell-host/src/index.ts
+++ b/packages/cell-host/src/index.ts
@@ -10,5 +10,7 @@
 export * from './peer_messages.js';
 export * from './peer_method.js';
 export * from './peer_server.js';
+export * from './pending_counts.js';
+export * from './rank_hosts.js';
 export * from './remote_adviser.js';
 export * from './shard_gateway.js';
--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -5,6 +5,9 @@
 /** A host that did not answer is asked last for this long. */
 const SILENT_HOST_MILLISECONDS = 3_000;
 
+/** Changes of the owner that are remembered. */
+const REMEMBERED_CHANGES = 8;
+
 /** The other hosts and the newest owner that this host has heard of. */
 export class Membership {
   private readonly hosts = new Map<string, HostRecord>();
@@ -12,6 +15,8 @@
   private newestOwner: OwnerRecord | undefined;
   /** Monotonic time at which the owner last answered; -Infinity if never. */
   heardOwnerAt = -Infinity;
+  /** Monotonic times of the last changes of the owner, oldest first. */
+  private ownerChanges: number[] = [];
 
   private constructor(
     readonly self: HostRecord,
@@ -49,6 +54,8 @@
     const known = this.newestOwner;
     if (known && known.epoch >= owner.epoch) return;
     this.newestOwner = owner;
+    const changes = [...this.ownerChanges, this.clock.monotonicNow()];
+    this.ownerChanges = changes.slice(-REMEMBERED_CHANGES);
     this.heardOwnerAt =
       source === 'news' ? this.clock.monotonicNow() : -Infinity;
     this.logger.info('owner learned', {
@@ -57,6 +64,11 @@
     });
   }
 
+  /** How often the owner changed since a monotonic time. */
+  ownerChangesSince(time: number): number {
+    return this.ownerChanges.filter(changedAt => changedAt >= time).length;
+  }
+
   noteSilent(hostName: string): void {
     const until = this.clock.monotonicNow() + SILENT_HOST_MILLISECONDS;
     this.silentUntil.set(hostName, until);
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -1,4 +1,8 @@
-import {OwnerRecord, type ShardLog} from '@cardamomfield/cell-model';
+import {
+  type HostRecord,
+  OwnerRecord,
+  type ShardLog,
+} from '@cardamomfield/cell-model';
 import type {Clock} from '@cardamomfield/clock';
 import type {TypedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
@@ -15,15 +19,27 @@
 /** Hosts that ping the owner at the short interval. */
 const CANDIDATE_COUNT = 8;
 
-/** Time between two pings of the owner by any other host. */
+/** Time between two questions of any other host about the owner. */
 const DISTANT_PING_MILLISECONDS = 800;
 
+/**
+ * Hosts that are asked about a silent owner. More would be thousands of calls a
+ * second in a large cell, just when it has none to spare.
+ */
+const WITNESS_COUNT = 6;
+
 /** A ping without an answer in this time has failed. */
 const PING_TIMEOUT_MILLISECONDS = 400;
 
 /** An owner that has not answered for this long may be replaced. */
 const SILENCE_MILLISECONDS = 700;
 
+/** Changes of the owner within this span count as near to each other. */
+const OWNER_CHANGE_SPAN_MILLISECONDS = 12_000;
+
+/** The silence that a claim needs is doubled at most this often. */
+const MAXIMUM_DOUBLINGS = 2;
+
 /** A host that heard the owner within this span vouches for it. */
 const VOUCH_MILLISECONDS = 600;
 
@@ -141,6 +157,7 @@
     const {membership, clock, random} = this.options;
     const {owner} = membership;
     if (owner) {
+      if (await this.isVouchedFor(owner)) return;
       if (await this.isAlive(owner)) return;
     } else if (!this.isSettled()) {
       return;
@@ -158,6 +175,47 @@
     );
   }
 
+  /**
+   * A host that is no candidate asks one of them instead of the owner, whose
+   * load would grow with the cell otherwise.
+   */
+  private async isVouchedFor(owner: OwnerRecord): Promise<boolean> {
+    const {membership, peers, clock, random} = this.options;
+    const ranked = this.ranked(owner);
+    const candidates = ranked.slice(0, CANDIDATE_COUNT);
+    if (candidates.some(({name}) => name === membership.self.name)) {
+      return false;
+    }
+    const asked = candidates[Math.floor(random() * candidates.length)];
+    if (!asked) return false;
+    const result = await peers.call(
+      asked.address,
+      PeerMethod.hears,
+      {},
+      PeerMessages.hearsResult,
+      PING_TIMEOUT_MILLISECONDS,
+    );
+    if (result.isLeft()) {
+      membership.noteSilent(asked.name);
+      return false;
+    }
+    const answer = result.unsafeCoerce();
+    if (answer.owner) membership.takeOwner(answer.owner, 'news');
+    if (answer.desiredStateVersion > this.options.desiredStateVersion()) {
+      this.options.onNewerDesiredState(asked.address);
+    }
+    if (membership.owner !== owner) return true;
+    if (
+      answer.epoch !== owner.epoch ||
+      answer.heardMillisecondsAgo > VOUCH_MILLISECONDS
+    ) {
+      return false;
+    }
+    const heardAt = clock.monotonicNow() - answer.heardMillisecondsAgo;
+    membership.heardOwnerAt = Math.max(membership.heardOwnerAt, heardAt);
+    return true;
+  }
+
   private async isAlive(owner: OwnerRecord): Promise<boolean> {
     // After a start of all hosts the known owner is gone: both questions are
     // asked at once, since hosts that are not back yet do not answer.
@@ -172,14 +230,17 @@
 
   /** Place of this host in the order in which hosts claim the next epoch. */
   private rank(): number {
+    const {owner, self} = this.options.membership;
+    return this.ranked(owner).findIndex(({name}) => name === self.name);
+  }
+
+  /** All hosts but the owner in the order in which they claim. */
+  private ranked(owner: OwnerRecord | undefined): HostRecord[] {
     const {membership} = this.options;
-    const {owner, self} = membership;
-    const hosts = [self, ...membership.answeringPeers()].filter(
+    const hosts = [membership.self, ...membership.answeringPeers()].filter(
       host => host.incarnation !== owner?.incarnation,
     );
-    return rankHosts(hosts, owner?.epoch ?? 0).findIndex(
-      ({name}) => name === self.name,
-    );
+    return rankHosts(hosts, owner?.epoch ?? 0);
   }
 
   private isSettled(): boolean {
@@ -209,7 +270,7 @@
         return 'gone';
       }
       const silence = now - membership.heardOwnerAt;
-      return silence > SILENCE_MILLISECONDS ? 'silent' : 'alive';
+      return silence > this.silenceLimit() ? 'silent' : 'alive';
     }
     const answer = result.unsafeCoerce();
     membership.noteAnswer(owner.hostName);
@@ -223,6 +284,19 @@
     return this.isLogDownTooLong(answer.isLogDown, now) ? 'gone' : 'alive';
   }
 
+  /**
+   * Each change of the owner within a short time doubles the silence that the
+   * next one needs: an owner that answers late under load is no better off on
+   * another host, and each takeover adds load.
+   */
+  private silenceLimit(): number {
+    const {membership, clock} = this.options;
+    const since = clock.monotonicNow() - OWNER_CHANGE_SPAN_MILLISECONDS;
+    const changes = membership.ownerChangesSince(since);
+    const doublings = Math.min(MAXIMUM_DOUBLINGS, Math.max(0, changes - 1));
+    return SILENCE_MILLISECONDS * 2 ** doublings;
+  }
+
   private isLogDownTooLong(isLogDown: boolean, now: number): boolean {
     if (!isLogDown) {
       this.ownerLogDownSince = undefined;
@@ -235,9 +309,10 @@
   /** Asks the others whether they hear the owner; one that does is enough. */
   private async isHeardByOthers(owner: OwnerRecord): Promise<boolean> {
     const {membership, peers} = this.options;
-    const others = membership
-      .answeringPeers()
-      .filter(host => host.name !== owner.hostName);
+    // Hosts that claim first watch the owner most closely.
+    const others = this.ranked(owner)
+      .filter(host => host.name !== membership.self.name)
+      .slice(0, WITNESS_COUNT);
     const answers = await Promise.all(
       others.map(async host => {
         const result = await peers.call(
--- a/packages/cell-host/src/peer_messages.ts
+++ b/packages/cell-host/src/peer_messages.ts
@@ -23,7 +23,11 @@
     epoch: z.number(),
     /** Milliseconds since the owner last answered the called host. */
     heardMillisecondsAgo: z.number(),
+    desiredStateVersion: z.number(),
+    /** The newest owner that the called host knows. */
+    owner: OwnerRecord.optional(),
   }),
+  news: z.object({owner: OwnerRecord}),
   submit: z.object({
     id: z.string(),
     queue: Queue,
--- a/packages/cell-host/src/peer_method.ts
+++ b/packages/cell-host/src/peer_method.ts
@@ -2,6 +2,7 @@
 export const PeerMethod = {
   ping: 'owner.ping',
   hears: 'owner.hears',
+  news: 'owner.news',
   submit: 'submission.submit',
   show: 'submission.show',
   cancel: 'submission.cancel',
--- a/packages/cell-host/src/peer_server.ts
+++ b/packages/cell-host/src/peer_server.ts
@@ -21,7 +21,13 @@
   private readonly server: Server;
 
   private constructor(private readonly logger: Logger) {
-    const app = new App({settings: {xPoweredBy: false}});
+    const app = new App({
+      settings: {xPoweredBy: false},
+      onError: (cause: unknown, _request, response) => {
+        logger.warn('call of a host broken off', {cause: String(cause)});
+        response.writeHead(400).end();
+      },
+    });
     app.post('/rpc', async (request, response) => {
       const chunks: Buffer[] = [];
       let bytes = 0;
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -18,6 +18,7 @@
 import type {PeerClient} from './peer_client.js';
 import {PeerMessages} from './peer_messages.js';
 import {PeerMethod} from './peer_method.js';
+import {PendingCounts} from './pending_counts.js';
 
 /** A request that was not sent anywhere waits this long for an owner. */
 const OWNER_WAIT_MILLISECONDS = 700;
@@ -43,7 +44,11 @@
  * again with a new owner until the deadline. All requests are idempotent.
  */
 export class ShardGateway {
-  private constructor(private readonly options: ShardGatewayOptions) {}
+  private readonly pendingCounts: PendingCounts;
+
+  private constructor(private readonly options: ShardGatewayOptions) {
+    this.pendingCounts = PendingCounts.create(options.clock);
+  }
 
   static create(options: ShardGatewayOptions): ShardGateway {
     return new ShardGateway(options);
@@ -95,12 +100,14 @@
     queueName: string,
     deadline: number,
   ): Promise<Either<TypedError, {count: number}>> {
-    return this.call(
-      owner => Promise.resolve(owner.countPending(queueName)).then(toCount),
-      PeerMethod.countPending,
-      {queueName},
-      PeerMessages.countResult,
-      deadline,
+    return this.pendingCounts.get(queueName, () =>
+      this.call(
+        owner => Promise.resolve(owner.countPending(queueName)).then(toCount),
+        PeerMethod.countPending,
+        {queueName},
+        PeerMessages.countResult,
+        deadline,
+      ),
     );
   }
 
