--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -46,6 +46,12 @@
  */
 const LOG_SILENCE_MILLISECONDS = 1_200;
 
+/**
+ * While appends through peers fail as well, the store may be down for all: by
+ * now the peers know whether it serves them, and only those take the shard.
+ */
+const LOG_DOWN_MILLISECONDS = 1_800;
+
 /** Hosts that are asked to take the shard in one go. */
 const HOSTS_PER_HANDOVER = 6;
 
@@ -202,12 +208,17 @@
       await clock.sleepUntil(
         clock.monotonicNow() + BETTER_HOST_CHECK_MILLISECONDS,
       );
-      if (this.owner !== owner || owner.isLogDown()) continue;
-      if (ports.logSilenceMilliseconds() > LOG_SILENCE_MILLISECONDS) {
+      if (this.owner !== owner) continue;
+      const isLogDown = owner.isLogDown();
+      const limit = isLogDown
+        ? LOG_DOWN_MILLISECONDS
+        : LOG_SILENCE_MILLISECONDS;
+      if (ports.logSilenceMilliseconds() > limit) {
         const others = this.candidates().slice(0, HOSTS_PER_HANDOVER);
         await this.handOver(others, 'the log serves peers only');
         continue;
       }
+      if (isLogDown) continue;
       const stronger = this.candidates().filter(
         host => host.milliCores >= settings.milliCores * STRONGER_FACTOR,
       );
