--- a/packages/worker-relay/src/freeze_guard.ts
+++ b/packages/clock/src/freeze_guard.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@cardamomfield/clock';
+import type {Clock} from './clock.js';
 
 /** Wall and monotonic clock may part by this much before a freeze is assumed. */
 const MAXIMUM_DRIFT_MILLISECONDS = 60;
@@ -18,12 +18,22 @@
     return new FreezeGuard(clock);
   }
 
-  /** True when the process stood still since the last check. */
-  hasFrozen(): boolean {
+  /**
+   * Milliseconds by which the clocks have parted since the last freeze or call
+   * of `settle`; 0 while that is no more than clocks drift by themselves. A
+   * freeze is told once.
+   */
+  takeFreeze(): number {
     const difference = this.read();
     const drift = Math.abs(difference - this.difference);
+    if (drift <= MAXIMUM_DRIFT_MILLISECONDS) return 0;
     this.difference = difference;
-    return drift > MAXIMUM_DRIFT_MILLISECONDS;
+    return drift;
+  }
+
+  /** Takes the present difference of the clocks as usual. */
+  settle(): void {
+    this.difference = this.read();
   }
 
   private read(): number {
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,5 +1,6 @@
 /** Time and randomness behind interfaces, so that tests can own both. */
 export * from './clock.js';
+export * from './freeze_guard.js';
 export * from './manual_clock.js';
 export * from './notifier.js';
 export * from './random_source.js';
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -1,5 +1,5 @@
 import type {ShardLog, ShardRecord} from '@cardamomfield/cell-model';
-import {type Clock, Notifier} from '@cardamomfield/clock';
+import {type Clock, FreezeGuard, Notifier} from '@cardamomfield/clock';
 import {
   CancelledError,
   ConflictError,
@@ -22,9 +22,6 @@
 /** Pause after a failed append; short against the proof's span. */
 const RETRY_PAUSE_MILLISECONDS = 60;
 
-/** Wall and monotonic clock may part by this much before a freeze is assumed. */
-const MAXIMUM_DRIFT_MILLISECONDS = 60;
-
 /** Most bytes of one append; half of what the log takes in one call. */
 const MAXIMUM_BATCH_BYTES = 1_000_000;
 
@@ -93,7 +90,7 @@
   private pendingSince: number | undefined;
   /** How long the last call that succeeded took. */
   private answerMilliseconds = 0;
-  private clockDifference: number;
+  private readonly freezeGuard: FreezeGuard;
   private isStopped = false;
   private freezes = 0;
   private readonly wakeUp: Notifier;
@@ -103,7 +100,7 @@
     this.provedAt = options.provedAt;
     this.nextSequence = options.nextSequence;
     this.wakeUp = Notifier.create(options.clock);
-    this.clockDifference = this.readClockDifference();
+    this.freezeGuard = FreezeGuard.create(options.clock);
   }
 
   static create(options: ShardJournalOptions): ShardJournal {
@@ -342,7 +339,7 @@
         this.provedAt = Math.max(this.provedAt, sentAt);
       }
       this.answerMilliseconds = clock.monotonicNow() - sentAt;
-      this.clockDifference = this.readClockDifference();
+      this.freezeGuard.settle();
       if (this.failingSince !== undefined) {
         const milliseconds = Math.round(
           clock.monotonicNow() - this.failingSince,
@@ -379,10 +376,8 @@
 
   /** The monotonic clock does not count a freeze of the process. */
   private checkForFreeze(): void {
-    const difference = this.readClockDifference();
-    const drift = Math.abs(difference - this.clockDifference);
-    if (drift <= MAXIMUM_DRIFT_MILLISECONDS) return;
-    this.clockDifference = difference;
+    const drift = this.freezeGuard.takeFreeze();
+    if (drift === 0) return;
     this.freezes++;
     this.provedAt = -Infinity;
     this.wakeUp.notify();
@@ -391,11 +386,6 @@
       driftMilliseconds: Math.round(drift),
     });
   }
-
-  private readClockDifference(): number {
-    const {clock} = this.options;
-    return clock.wallNow() - clock.monotonicNow();
-  }
 }
 
 function isOutOfOrder(result: Either<TypedError, void>): boolean {
--- a/packages/worker-relay/src/index.ts
+++ b/packages/worker-relay/src/index.ts
@@ -1,7 +1,6 @@
 /** Calls to workers through other hosts. */
 export * from './choose_relays.js';
 export * from './frame_stream.js';
-export * from './freeze_guard.js';
 export * from './relay_channel.js';
 export * from './relay_failure.js';
 export * from './relay_messages.js';
--- a/packages/worker-relay/src/relay_server.ts
+++ b/packages/worker-relay/src/relay_server.ts
@@ -4,14 +4,13 @@
   WorkerLink,
   WorkerLinks,
 } from '@cardamomfield/cell-model';
-import type {Clock} from '@cardamomfield/clock';
+import {type Clock, FreezeGuard} from '@cardamomfield/clock';
 import {ConflictError, type TypedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import {JSONRPCServer, isJSONRPCRequest} from 'json-rpc-2.0';
 import type {Either} from 'purify-ts';
 import type {z} from 'zod';
 import {FrameStream} from './frame_stream.js';
-import {FreezeGuard} from './freeze_guard.js';
 import {RelayFailure} from './relay_failure.js';
 import {RelayMessages} from './relay_messages.js';
 import {RelayMethod} from './relay_method.js';
@@ -90,9 +89,12 @@
   }
 
   private receive(channel: OwnerChannel, message: unknown): void {
-    if (this.guard.hasFrozen()) {
+    const frozenMilliseconds = this.guard.takeFreeze();
+    this.guard.settle();
+    if (frozenMilliseconds > 0) {
       this.options.logger.warn('relay channels closed after a freeze', {
         channels: this.channels.size,
+        milliseconds: Math.round(frozenMilliseconds),
       });
       this.closeChannels();
       return;
