Wait for leases that name times of a worker's former clock

A worker restarted at 22.2 s; until the owner noticed at 23.5 s its orders named lease ends on the former clock, 9 s ahead of the new one. The worker shortened them to its longest lease, the owner counted its usual one from then on. When the worker was silent from 24.8 s the owner gave its runs up at 29.8 s and started them elsewhere; the leases held until 33.6 s, and two tasks ran again after their ends.

Change: after a restart the owner counts the longest lease, from the latest moment at which an earlier order may be carried out. One constant for the slowest clock.

--- a/packages/cell-stand-ins/src/ownership_run.test.ts
+++ b/packages/cell-stand-ins/src/ownership_run.test.ts
@@ -11,9 +11,11 @@
  * Seeds that once broke a promise: a withdrawn start that reached the next life
  * of its worker (20953, 21485), a proof that was under way during a freeze
  * (25708, 25893), ends of one life acknowledged to the next (20441, 23981,
- * 24958).
+ * 24958), leases that name times of a former clock (801430).
  */
-const KEPT_SEEDS = [20441, 20953, 21485, 23187, 23981, 24958, 25708, 25893];
+const KEPT_SEEDS = [
+  20441, 20953, 21485, 23187, 23981, 24958, 25708, 25893, 801430,
+];
 
 /** Rare faults need many runs before one of them shows a weakness. */
 const WEAKNESS_SEEDS = 1_000;
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -34,6 +34,7 @@
 import {RunBook} from './run_book.js';
 import type {ShardClaim} from './shard_claim.js';
 import {ShardJournal} from './shard_journal.js';
+import {WorkerClock} from './worker_clock.js';
 import {WorkerSession} from './worker_session.js';
 
 /** The scheduler runs at least this often, for timed work and drains. */
@@ -54,9 +55,6 @@
 /** Sessions are checked for drains, listings and their end this often. */
 const SESSION_CHECK_MILLISECONDS = 50;
 
-/** Clocks of workers may run this much slower than the owner's. */
-const SLOWEST_WORKER_RATE = 0.98;
-
 /** Added to the time after which an earlier owner's leases are over. */
 const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
 
@@ -449,7 +447,7 @@
   return (
     options.clock.monotonicNow() +
     ShardJournal.proofValidMilliseconds +
-    options.timing.maximumLeaseMilliseconds / SLOWEST_WORKER_RATE +
+    options.timing.maximumLeaseMilliseconds / WorkerClock.slowestRate +
     TAKEOVER_MARGIN_MILLISECONDS
   );
 }
--- a/packages/shard-owner/src/worker_leases.ts
+++ b/packages/shard-owner/src/worker_leases.ts
@@ -9,6 +9,9 @@
 /** Added to a lease end before its tasks are taken for dead. */
 const LEASE_MARGIN_MILLISECONDS = 400;
 
+/** A call without an answer may be carried out this much later. */
+const LATE_ORDER_MILLISECONDS = 6_000;
+
 interface WorkerLeasesOptions {
   journal: ShardJournal;
   clock: Clock;
@@ -45,10 +48,20 @@
     this.clock.observe(workerMilliseconds, receivedAt);
   }
 
-  /** The worker's clock begins anew; a restart ends all earlier leases. */
+  /**
+   * The worker's clock begins anew. A restart ends all earlier leases, but
+   * orders that were sent before it was noticed named times of the former
+   * clock; the new life shortens such a lease to the longest one.
+   */
   enterLife(isRestart: boolean): void {
+    const {clock, timing} = this.options;
     this.clock.forget();
-    if (isRestart) this.endsAt = 0;
+    if (!isRestart) return;
+    this.endsAt =
+      clock.monotonicNow() +
+      LATE_ORDER_MILLISECONDS +
+      timing.maximumLeaseMilliseconds / WorkerClock.slowestRate +
+      LEASE_MARGIN_MILLISECONDS;
   }
 
   /** The lease end to send now, on the worker's clock. */
