--- a/packages/cell-host/src/cell_ports.ts
+++ b/packages/cell-host/src/cell_ports.ts
@@ -16,8 +16,8 @@
   /** Undefined when the cell has no advice service. */
   adviser: Adviser | undefined;
   desiredState: DesiredStateSource;
-  /** Carries out a platform call for a host that the platform turns away. */
   /** How long the log has not answered this host itself; 0 when it does. */
   logSilenceMilliseconds: () => number;
+  /** Carries out a platform call for a host that the platform turns away. */
   relay: (request: string, timeoutMilliseconds: number) => Promise<string>;
 }
--- a/packages/worker-relay/src/relay_server.ts
+++ b/packages/worker-relay/src/relay_server.ts
@@ -189,6 +189,7 @@
       async ({handle, order}, channel) => {
         const report = await this.linkOf(handle, channel).look({
           ...order,
+          // JSON leaves out what is undefined; the order's type names it.
           leaseEndWorkerMilliseconds: order.leaseEndWorkerMilliseconds,
         });
         return report.isRight()
--- a/packages/worker-relay/src/relayed_worker_link.ts
+++ b/packages/worker-relay/src/relayed_worker_link.ts
@@ -59,6 +59,7 @@
       return {kind: 'uncertain', cause: message};
     }
     const outcome = answer.unsafeCoerce();
+    // JSON leaves out what is undefined; the outcome's type names it.
     return outcome.kind === 'refused'
       ? {...outcome, clock: outcome.clock}
       : outcome;
