HTTP client: collect answers without streams and abort signals

Cause: one call to a worker or peer created an AbortController, a Readable, several promises and the library's own timers. Change: a handler collects status and body as they arrive; the limit of a call covers its whole answer as before, so the library's limits are off.

--- a/packages/http-client/src/http_client.ts
+++ b/packages/http-client/src/http_client.ts
@@ -4,10 +4,12 @@
   UncertainError,
 } from '@cardamomfield/errors';
 import {type Either, Left, Right} from 'purify-ts';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
+import {PendingAnswer} from './pending_answer.js';
 
 /** One HTTP call with a time limit that covers the whole answer. */
 interface HttpCall {
+  /** Scheme `http`, address and path, in full. */
   url: string;
   method: 'GET' | 'POST';
   headers?: Record<string, string>;
@@ -38,6 +40,8 @@
 /** Turns of the event loop in which an answer's head and body are read. */
 const INPUT_TURNS = 2;
 
+const SCHEME_LENGTH = 'http://'.length;
+
 /** Errors of connections that were never opened: nothing was sent. */
 const NOT_SENT =
   /ECONNREFUSED|UND_ERR_CONNECT_TIMEOUT|EHOSTUNREACH|ENETUNREACH/;
@@ -63,48 +67,40 @@
    * `UnavailableError` means that nothing was sent, `UncertainError` that the
    * call may have been or may yet be carried out.
    */
-  async call(call: HttpCall): Promise<Either<TypedError, HttpAnswer>> {
-    const abort = new AbortController();
-    const answer = this.send(call, abort.signal);
-    let isAnswered = false;
-    void answer.then(() => {
-      isAnswered = true;
-    });
-    let timer: NodeJS.Timeout | undefined;
-    // A call that still waits for a connection does not end with its signal,
-    // so the limit is kept here as well.
-    const limit = new Promise<Either<TypedError, HttpAnswer>>(resolve => {
-      timer = setTimeout(() => {
+  call(call: HttpCall): Promise<Either<TypedError, HttpAnswer>> {
+    return new Promise(resolve => {
+      const pending = PendingAnswer.create(outcome => {
+        clearTimeout(timer);
+        resolve(
+          'status' in outcome
+            ? Right(outcome)
+            : Left(toError(call.url, outcome.thrown, false)),
+        );
+      });
+      const timer = setTimeout(() => {
         void afterPendingInput().then(() => {
-          if (isAnswered) return;
-          abort.abort();
+          if (pending.isSettled) return;
+          pending.abort(new Error('timed out'));
           this.renew();
           resolve(Left(toError(call.url, undefined, true)));
         });
       }, call.timeoutMilliseconds);
+      this.send(call, pending);
     });
-    const outcome = await Promise.race([answer, limit]);
-    clearTimeout(timer);
-    return outcome;
   }
 
-  private async send(
-    call: HttpCall,
-    signal: AbortSignal,
-  ): Promise<Either<TypedError, HttpAnswer>> {
-    try {
-      const response = await request(call.url, {
-        dispatcher: this.agent,
+  private send(call: HttpCall, pending: PendingAnswer): void {
+    const pathAt = call.url.indexOf('/', SCHEME_LENGTH);
+    this.agent.dispatch(
+      {
+        origin: call.url.slice(0, pathAt),
+        path: call.url.slice(pathAt),
         method: call.method,
         headers: call.headers,
         body: call.body,
-        signal,
-      });
-      const body = Buffer.from(await response.body.arrayBuffer());
-      return Right({status: response.statusCode, body});
-    } catch (thrown) {
-      return Left(toError(call.url, thrown, signal.aborted));
-    }
+      },
+      pending,
+    );
   }
 
   close(): Promise<void> {
@@ -126,6 +122,10 @@
       pipelining: 1,
       connect: {timeout: this.options.connectTimeoutMilliseconds},
       keepAliveTimeout: this.options.keepAliveMilliseconds,
+      // The limit of each call covers the whole answer; further limits of the
+      // library would wake the process twice a second.
+      headersTimeout: 0,
+      bodyTimeout: 0,
     });
   }
 }
