Start from compiled code; bundle only the parts of undici in use

Change: the bundle is one script; the build runs it for 1.5 s and keeps what V8 compiled; a launcher without the module loader starts it with that. V8 throws compiled code away under other flags, so the build reads the flags of deploy/system.toml, and a log line tells when it did. Seen red: bundle.test.ts (no compiled code before).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -136,4 +136,16 @@
       globals: {process: 'readonly', console: 'readonly', URL: 'readonly'},
     },
   },
+  {
+    // Loaded without the module loader, to spare its time at each start.
+    files: ['**/*.cjs'],
+    languageOptions: {
+      globals: {
+        require: 'readonly',
+        __filename: 'readonly',
+        setTimeout: 'readonly',
+      },
+    },
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
 );
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,11 @@
-// Bundles the daemon into one file, so that a start loads little. The first
-// argument names the file; target/cardamomfield.mjs if omitted.
+// Bundles the daemon into one script and compiles it ahead, so that a start
+// loads and compiles little. Writes the launcher, the bundle and the compiled
+// code. The first argument names the launcher; target/cardamomfield.cjs if
+// omitted.
+import {spawnSync} from 'node:child_process';
+import {copyFileSync, mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {build} from 'esbuild';
 
 const WORKSPACE = /^@cardamomfield\/([^/]+)$/;
@@ -25,20 +31,92 @@
   },
 };
 
+/** Leaves out fetch, web sockets and mocks; the daemon calls dispatchers. */
+const dispatchersOnly = {
+  name: 'dispatchers-only',
+  setup(builder) {
+    builder.onLoad({filter: /undici\/index\.js$/}, () => ({
+      contents: `
+        const Dispatcher = require('./lib/dispatcher/dispatcher');
+        Object.assign(Dispatcher.prototype, require('./lib/api'));
+        exports.Agent = require('./lib/dispatcher/agent');
+        exports.Client = require('./lib/dispatcher/client');
+      `,
+    }));
+  },
+};
+
+/** V8 uses compiled code only under the flags that it was compiled with. */
+function runtimeFlags() {
+  const deployment = readFileSync('deploy/system.toml', 'utf8');
+  const [, flags] = deployment.match(/^run = "node (.*)target\//m);
+  return flags.split(' ').filter(flag => flag !== '');
+}
+
+/** Settings with which the daemon starts, and finds no store. */
+function settingsFile() {
+  const path = join(
+    mkdtempSync(join(tmpdir(), 'cardamomfield-')),
+    'local.yaml',
+  );
+  // An address of its own: the port of the metrics is fixed.
+  const address = `127.77.${(process.pid >> 8) % 256}.${process.pid % 256}:0`;
+  const settings = {
+    node_name: 'build',
+    region: 'build',
+    zone: 'build',
+    listen_addrs: {
+      frontend: address,
+      readiness: address,
+      control_plane: address,
+    },
+    seeds: [],
+    limits: {cpu_quota: 1, cores: 1},
+    bounds: {
+      grace_s: 1,
+      hold_max_ms: 1_000,
+      kill_timeout_ms: 100,
+      gang_timeout_ms: 1_000,
+      status_s: 1,
+    },
+    recommendation: null,
+    platform: {address: '127.0.0.1:9'},
+  };
+  writeFileSync(path, JSON.stringify(settings));
+  return path;
+}
+
+const launcher = process.argv[2] ?? 'target/cardamomfield.cjs';
+const base = launcher.replace(/\.cjs$/, '');
 await build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: process.argv[2] ?? 'target/cardamomfield.mjs',
+  outfile: `${base}.bundle`,
   bundle: true,
   platform: 'node',
-  format: 'esm',
+  format: 'cjs',
   target: 'node20',
   minify: true,
   keepNames: true,
   sourcemap: false,
-  plugins: [fromSources, withoutLocales],
-  // CommonJS libraries in the bundle call require for Node's own modules.
-  banner: {
-    js: "import {createRequire} from 'node:module';const require=createRequire(import.meta.url);",
-  },
+  plugins: [fromSources, withoutLocales, dispatchersOnly],
+  banner: {js: '(function (require) {'},
+  footer: {js: '})'},
   logLevel: 'warning',
 });
+copyFileSync('scripts/launcher.cjs', launcher);
+const compiled = spawnSync(
+  process.execPath,
+  [
+    ...runtimeFlags(),
+    'scripts/compile_bundle.cjs',
+    `${base}.bundle`,
+    `${base}.cache`,
+  ],
+  {
+    env: {...process.env, CARDAMOMFIELD_CONFIG: settingsFile()},
+    encoding: 'utf8',
+  },
+);
+if (compiled.status !== 0) {
+  throw new Error(`compiling the bundle failed: ${compiled.stderr}`);
+}
