--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -32,6 +32,8 @@
 /** A call to the owner that takes longer than this is tried again. */
 const CALL_TIMEOUT_MILLISECONDS = 1_200;
 
+const DECIDED = 'the call is decided';
+
 interface ShardGatewayOptions {
   membership: Membership;
   peers: PeerClient;
@@ -196,7 +198,8 @@
       Left<TypedError, Value>(UncertainError.create('the deadline passed')),
     );
   const result = await Promise.race([work, late]);
-  abort.abort();
+  // A reason of its own spares the error that would be made otherwise.
+  abort.abort(DECIDED);
   return result;
 }
 
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -21,28 +21,34 @@
   },
 };
 
-/** Leaves out the translations of schema errors; nothing reads them. */
-const withoutLocales = {
-  name: 'without-locales',
-  setup(builder) {
-    builder.onLoad({filter: /zod\/v4\/locales\/index\.js$/}, () => ({
-      contents: "export {default as en} from './en.js';",
-    }));
-  },
-};
+/**
+ * Parts of libraries that the daemon never calls, and what stands for them. A
+ * start would load them, and modules of Node that only they need.
+ */
+const REPLACED = [
+  [/zod\/v4\/locales\/index\.js$/, "export {default as en} from './en.js';"],
+  [
+    /undici\/index\.js$/,
+    `
+      const Dispatcher = require('./lib/dispatcher/dispatcher');
+      Object.assign(Dispatcher.prototype, require('./lib/api'));
+      exports.Agent = require('./lib/dispatcher/agent');
+      exports.Client = require('./lib/dispatcher/client');
+    `,
+  ],
+  [
+    /undici\/lib\/dispatcher\/client-h2\.js$/,
+    "module.exports = () => {throw new Error('HTTP/2 is not bundled');};",
+  ],
+  [/prom-client\/lib\/(cluster|defaultMetrics|pushgateway)\.js$/, ''],
+];
 
-/** Leaves out fetch, web sockets and mocks; the daemon calls dispatchers. */
-const dispatchersOnly = {
-  name: 'dispatchers-only',
+const withoutUnused = {
+  name: 'without-unused',
   setup(builder) {
-    builder.onLoad({filter: /undici\/index\.js$/}, () => ({
-      contents: `
-        const Dispatcher = require('./lib/dispatcher/dispatcher');
-        Object.assign(Dispatcher.prototype, require('./lib/api'));
-        exports.Agent = require('./lib/dispatcher/agent');
-        exports.Client = require('./lib/dispatcher/client');
-      `,
-    }));
+    for (const [filter, contents] of REPLACED) {
+      builder.onLoad({filter}, () => ({contents}));
+    }
   },
 };
 
@@ -98,7 +104,7 @@
   minify: true,
   keepNames: true,
   sourcemap: false,
-  plugins: [fromSources, withoutLocales, dispatchersOnly],
+  plugins: [fromSources, withoutUnused],
   banner: {js: '(function (require) {'},
   footer: {js: '})'},
   logLevel: 'warning',
