Do not replace an owner that only this host was slow to hear

Cause: a host of 0.32 of a core was choked by its own restart; its calls to the owner and to all others timed out at 400 ms. Hosts that do not answer leave the order of claims, so that it took itself for the first in turn, and it claimed from an owner that was answering its consumers' requests meanwhile (83 ms and 94 ms before the claim). Change: while no host answers, a host waits 2 s before it claims; answers of the owner to forwarded requests count as signs of life; what was heard during the wait for a turn, and a ping of a long turn, end the claim. Ruled out: the owner's load (100 to 300 decisions logged in each 100 ms until it lost the epoch), and the store (only this host lost it).

--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -64,6 +64,12 @@
     });
   }
 
+  /** The owner has answered a call as such; answers of former ones are late. */
+  noteOwnerAnswer(owner: OwnerRecord): void {
+    if (this.newestOwner !== owner) return;
+    this.heardOwnerAt = this.clock.monotonicNow();
+  }
+
   /** How often the owner changed since a monotonic time. */
   ownerChangesSince(time: number): number {
     return this.ownerChanges.filter(changedAt => changedAt >= time).length;
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -28,6 +28,12 @@
  */
 const WITNESS_COUNT = 6;
 
+/**
+ * A host whose questions nobody answers is more often slow itself than the last
+ * one alive: it claims only after this long.
+ */
+const ALONE_MILLISECONDS = 2_000;
+
 /** A ping without an answer in this time has failed. */
 const PING_TIMEOUT_MILLISECONDS = 400;
 
@@ -85,6 +91,8 @@
   private readonly startedAt: number;
   private readonly ranking = HostRanking.create();
   private ownerLogDownSince: number | undefined;
+  /** Monotonic time since which no host answers this one. */
+  private aloneSince: number | undefined;
   private isStopped = false;
   private isClaiming = false;
 
@@ -163,14 +171,19 @@
     } else if (!this.isSettled()) {
       return;
     }
+    const silentAt = clock.monotonicNow();
     const turn = Math.min(
       this.rank() * CLAIM_TURN_MILLISECONDS,
       LONGEST_TURN_MILLISECONDS,
     );
-    await clock.sleepUntil(
-      clock.monotonicNow() + turn + random() * TURN_JITTER_MILLISECONDS,
-    );
+    const turnAt = silentAt + turn + random() * TURN_JITTER_MILLISECONDS;
+    // What this host saw of the owner is old by the end of a long turn.
+    await Promise.all([
+      owner && turn > PING_TIMEOUT_MILLISECONDS ? this.look(owner) : undefined,
+      clock.sleepUntil(turnAt),
+    ]);
     if (membership.owner !== owner) return;
+    if (owner && membership.heardOwnerAt > silentAt) return;
     await this.claim(
       owner ? `owner ${owner.hostName} is not heard` : 'no owner',
     );
@@ -200,6 +213,7 @@
       membership.noteSilent(asked.name);
       return false;
     }
+    this.aloneSince = undefined;
     const answer = result.unsafeCoerce();
     if (answer.owner) membership.takeOwner(answer.owner, 'news');
     if (answer.desiredStateVersion > this.options.desiredStateVersion()) {
@@ -229,6 +243,17 @@
     return others ?? this.isHeardByOthers(owner);
   }
 
+  /** Notes whether any host answers; true while this one may be at fault. */
+  private mayBeCutOff(isAnswered: boolean): boolean {
+    if (isAnswered) {
+      this.aloneSince = undefined;
+      return false;
+    }
+    const now = this.options.clock.monotonicNow();
+    this.aloneSince ??= now;
+    return now - this.aloneSince < ALONE_MILLISECONDS;
+  }
+
   /** Place of this host in the order in which hosts claim the next epoch. */
   private rank(): number {
     const {owner, self} = this.options.membership;
@@ -273,6 +298,7 @@
       const silence = now - membership.heardOwnerAt;
       return silence > this.silenceLimit() ? 'silent' : 'alive';
     }
+    this.aloneSince = undefined;
     const answer = result.unsafeCoerce();
     membership.noteAnswer(owner.hostName);
     if (answer.owner) membership.takeOwner(answer.owner, 'news');
@@ -307,13 +333,22 @@
     return now - this.ownerLogDownSince > OWNER_LOG_DOWN_MILLISECONDS;
   }
 
-  /** Asks the others whether they hear the owner; one that does is enough. */
+  /**
+   * Asks the others whether they hear the owner; one that does is enough. True
+   * as well while none of them answers, for a time.
+   */
   private async isHeardByOthers(owner: OwnerRecord): Promise<boolean> {
     const {membership, peers} = this.options;
-    // Hosts that claim first watch the owner most closely.
-    const others = this.ranked(owner)
-      .filter(host => host.name !== membership.self.name)
-      .slice(0, WITNESS_COUNT);
+    // Hosts that claim first watch the owner most closely. Where none answers,
+    // all are asked again, since this host may have been slow itself.
+    const {self} = membership;
+    const answering = this.ranked(owner).filter(({name}) => name !== self.name);
+    const known = membership
+      .peers()
+      .filter(({incarnation}) => incarnation !== owner.incarnation);
+    const others = (
+      answering.length > 0 ? answering : this.ranking.rank(known, owner.epoch)
+    ).slice(0, WITNESS_COUNT);
     const answers = await Promise.all(
       others.map(async host => {
         const result = await peers.call(
@@ -325,15 +360,18 @@
         );
         if (result.isLeft()) {
           membership.noteSilent(host.name);
-          return false;
+          const {details} = result.extract() as TypedError;
+          return details.isRefused === true ? 'gone' : 'silent';
         }
         const answer = result.unsafeCoerce();
-        return (
+        const hears =
           answer.epoch >= owner.epoch &&
-          answer.heardMillisecondsAgo < VOUCH_MILLISECONDS
-        );
+          answer.heardMillisecondsAgo < VOUCH_MILLISECONDS;
+        return hears ? 'hears' : 'does-not-hear';
       }),
     );
-    return answers.some(Boolean);
+    if (answers.includes('hears')) return true;
+    const isAnswered = answers.some(answer => answer !== 'silent');
+    return others.length > 0 && this.mayBeCutOff(isAnswered);
   }
 }
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -168,13 +168,15 @@
       return Left(NotOwnerError.create());
     }
     const remaining = deadline - clock.monotonicNow();
-    return peers.call(
+    const answer = await peers.call(
       owner.address,
       method,
       parameters,
       result,
       Math.min(remaining, CALL_TIMEOUT_MILLISECONDS),
     );
+    if (answer.isRight()) membership.noteOwnerAnswer(owner);
+    return answer;
   }
 }
 
