Give away a shard whose records cannot be read

The weak host's claim had reached the log, but reading 1 MB of records over 10 Mbit/s passed the limit of 0.9 s, each try beside the one before. It held epoch 4 and could not serve; the others lost their turns to conflicts with it; and as the recorded owner it was in no order of claims (place -1), so that its next claims, epochs 5 and on, came before those of stronger hosts. Change: such a host asks the strongest ones to take the shard and tells them its epoch; its own next claim comes last. Seen red: the two further tests of owner_election.test.ts.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -115,6 +115,11 @@
       desiredStateVersion: () => this.desiredState.version,
       onNewerDesiredState: address => void this.introduce(address),
       onClaimed: claim => this.becomeOwner(claim),
+      onUnfinishedClaim: () =>
+        void this.handOver(
+          this.candidates().slice(0, HOSTS_PER_HANDOVER),
+          'the records of the shard were not read',
+        ),
     });
     this.relayServer = RelayServer.create({links: ports.links, clock, logger});
     options.server.handleUpgrade(RelayChannel.protocol, socket =>
@@ -186,7 +191,7 @@
       const result = await peers.call(
         host.address,
         PeerMethod.take,
-        {},
+        {owner: this.membership.owner},
         PeerMessages.empty,
         TAKE_TIMEOUT_MILLISECONDS,
       );
@@ -377,7 +382,8 @@
         desiredState: this.desiredState.state,
       });
     });
-    server.handle(PeerMethod.take, PeerMessages.empty, async () => {
+    server.handle(PeerMethod.take, PeerMessages.take, async call => {
+      if (call.owner) this.membership.takeOwner(call.owner, 'news');
       if (this.isLeaving) {
         return Left(UnavailableError.create('this host is leaving too'));
       }
--- a/packages/cell-host/src/owner_election.test.ts
+++ b/packages/cell-host/src/owner_election.test.ts
@@ -37,6 +37,7 @@
 const call = vi.fn();
 const append = vi.fn();
 const readNewest = vi.fn();
+const onUnfinishedClaim = vi.fn();
 
 beforeEach(() => {
   vi.resetAllMocks();
@@ -60,6 +61,7 @@
     desiredStateVersion: () => 0,
     onNewerDesiredState: () => {},
     onClaimed: () => {},
+    onUnfinishedClaim,
   });
 });
 
@@ -95,3 +97,24 @@
   expect(append).toHaveBeenCalled();
   election.stop();
 });
+
+// Guards against a shard that stays with a host that cannot read its records: it
+// held the epoch, and its next claim came before those of stronger hosts.
+it('claims after all others when its own claim was not finished', async () => {
+  membership.takeOwner(ownerOn('weak', 4), 'news');
+  void election.run();
+  await clock.advance(150);
+  expect(append).not.toHaveBeenCalled();
+  await clock.advance(3_000);
+  expect(append).toHaveBeenCalled();
+  election.stop();
+});
+
+// Guards against the same: the others did not know of the claim, and each lost
+// its turn to a conflict with it.
+it('gives away a shard whose records it cannot read', async () => {
+  await election.claim('no owner');
+  expect(append).toHaveBeenCalledTimes(1);
+  expect(onUnfinishedClaim).toHaveBeenCalledTimes(1);
+  expect(membership.owner).toMatchObject({epoch: 1, hostName: 'weak'});
+});
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -80,6 +80,8 @@
   onNewerDesiredState: (address: string) => void;
   desiredStateVersion: () => number;
   onClaimed: (claim: ShardClaim) => void;
+  /** Called when this host holds the epoch but could not read the records. */
+  onUnfinishedClaim: () => void;
 }
 
 /**
@@ -142,6 +144,7 @@
       logger.warn('claim failed', {reason, cause: error.message, milliseconds});
       const newer = OwnerRecord.safeParse(error.details.owner);
       if (newer.success) membership.takeOwner(newer.data, 'news');
+      if (error.details.isUnfinished === true) this.options.onUnfinishedClaim();
       return;
     }
     const claim = result.unsafeCoerce();
@@ -254,10 +257,15 @@
     return now - this.aloneSince < ALONE_MILLISECONDS;
   }
 
-  /** Place of this host in the order in which hosts claim the next epoch. */
+  /**
+   * Place of this host in the order in which hosts claim the next epoch. It is
+   * the last one after a claim of its own that it could not finish.
+   */
   private rank(): number {
     const {owner, self} = this.options.membership;
-    return this.ranked(owner).findIndex(({name}) => name === self.name);
+    const ranked = this.ranked(owner);
+    const place = ranked.findIndex(({name}) => name === self.name);
+    return place < 0 ? ranked.length : place;
   }
 
   /** All hosts but the owner in the order in which they claim. */
--- a/packages/cell-host/src/peer_messages.ts
+++ b/packages/cell-host/src/peer_messages.ts
@@ -28,6 +28,8 @@
     owner: OwnerRecord.optional(),
   }),
   news: z.object({owner: OwnerRecord}),
+  /** Asks a host to take the shard from the owner that the caller knows. */
+  take: z.object({owner: OwnerRecord.optional()}),
   submit: z.object({
     id: z.string(),
     queue: Queue,
--- a/packages/shard-owner/src/claim_shard.ts
+++ b/packages/shard-owner/src/claim_shard.ts
@@ -3,6 +3,7 @@
 import {
   ConflictError,
   type TypedError,
+  UnavailableError,
   UncertainError,
 } from '@cardamomfield/errors';
 import {type Either, Left, Right} from 'purify-ts';
@@ -27,7 +28,9 @@
 
 /**
  * Raises the shard's epoch and reads all that was recorded before. From then
- * on appends of earlier owners are refused.
+ * on appends of earlier owners are refused. `UnavailableError` with the detail
+ * `isUnfinished` means that this host holds the epoch and cannot serve with it:
+ * another one has to claim the next.
  */
 export async function claimShard(
   options: ClaimShardOptions,
@@ -41,7 +44,18 @@
   if (appended.extract() instanceof ConflictError) return findNewerOwner(log);
   if (appended.isLeft()) return appended as Either<TypedError, never>;
   const read = await log.readNewest();
-  if (read.isLeft()) return read as Either<TypedError, never>;
+  if (read.isLeft()) {
+    const {message} = read.extract() as TypedError;
+    return Left(
+      UnavailableError.create(
+        `claimed, but the records were not read: ${message}`,
+        {
+          owner: claim,
+          isUnfinished: true,
+        },
+      ),
+    );
+  }
   const records = toMap(read.unsafeCoerce());
   const owner = readOwner(records);
   if (owner?.incarnation !== claim.incarnation || owner.epoch !== claim.epoch) {
