--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,9 +3,7 @@
 // code. The first argument names the launcher; target/cardamomfield.cjs if
 // omitted.
 import {spawnSync} from 'node:child_process';
-import {copyFileSync, mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {copyFileSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
 
 const WORKSPACE = /^@cardamomfield\/([^/]+)$/;
@@ -60,11 +58,7 @@
 }
 
 /** Settings with which the daemon starts, and finds no store. */
-function settingsFile() {
-  const path = join(
-    mkdtempSync(join(tmpdir(), 'cardamomfield-')),
-    'local.yaml',
-  );
+function writeSettings(path) {
   // An address of its own: the port of the metrics is fixed.
   const address = `127.77.${(process.pid >> 8) % 256}.${process.pid % 256}:0`;
   const settings = {
@@ -89,7 +83,6 @@
     platform: {address: '127.0.0.1:9'},
   };
   writeFileSync(path, JSON.stringify(settings));
-  return path;
 }
 
 const launcher = process.argv[2] ?? 'target/cardamomfield.cjs';
@@ -110,6 +103,8 @@
   logLevel: 'warning',
 });
 copyFileSync('scripts/launcher.cjs', launcher);
+const settingsPath = `${base}.settings.yaml`;
+writeSettings(settingsPath);
 const compiled = spawnSync(
   process.execPath,
   [
@@ -119,10 +114,11 @@
     `${base}.cache`,
   ],
   {
-    env: {...process.env, CARDAMOMFIELD_CONFIG: settingsFile()},
+    env: {...process.env, CARDAMOMFIELD_CONFIG: settingsPath},
     encoding: 'utf8',
   },
 );
+rmSync(settingsPath);
 if (compiled.status !== 0) {
   throw new Error(`compiling the bundle failed: ${compiled.stderr}`);
 }
