Refuse to take a shard from an owner that was replaced

A host asks others to take the shard (a handover, or a claim that it could not finish). When another host had claimed meanwhile, the one asked took the shard from that newer, working owner. Seen red with the check taken out: cell_host.test.ts.

--- /dev/null
+++ b/packages/cell-host/src/cell_host.test.ts
@@ -0,0 +1,66 @@
+import type {OwnerRecord} from '@cardamomfield/cell-model';
+import {ManualClock} from '@cardamomfield/clock';
+import {UncertainError} from '@cardamomfield/errors';
+import {SilentLogger} from '@cardamomfield/logger';
+import {MemoryMetrics} from '@cardamomfield/metrics';
+import {type Either, Left} from 'purify-ts';
+import {expect, it, vi} from 'vitest';
+import {CellHost} from './cell_host.js';
+import type {CellPorts} from './cell_ports.js';
+import type {CellSettings} from './cell_settings.js';
+import type {PeerClient} from './peer_client.js';
+import {PeerMethod} from './peer_method.js';
+import type {PeerServer} from './peer_server.js';
+
+type Handler = (parameters: unknown) => Promise<Either<unknown, unknown>>;
+
+function ownerOn(hostName: string, epoch: number): OwnerRecord {
+  return {
+    shard: 'cell-0',
+    epoch,
+    hostName,
+    address: `${hostName}:1`,
+    incarnation: hostName,
+  };
+}
+
+// Guards against a working owner that is replaced because a former one, or a host
+// whose claim took long, still asks others to take the shard.
+it('takes no shard from an owner newer than the one that asks', async () => {
+  const handlers = new Map<string, Handler>();
+  const append = vi.fn(async () => Left(UncertainError.create('timed out')));
+  const host = CellHost.create({
+    settings: {
+      hostName: 'strong-1',
+      peerAddress: 'strong-1:1',
+      region: 'region',
+      availabilityZone: 'zone',
+      milliCores: 1_350,
+      shard: 'cell-0',
+      seedAddresses: [],
+      graceMilliseconds: 1_000,
+    } as unknown as CellSettings,
+    ports: {
+      log: {append, readNewest: vi.fn(), confirmEpoch: vi.fn()},
+      logSilenceMilliseconds: () => 0,
+    } as unknown as CellPorts,
+    peers: {} as PeerClient,
+    server: {
+      handle: (method: string, _schema: unknown, handler: Handler) =>
+        handlers.set(method, handler),
+      handleUpgrade: () => {},
+    } as unknown as PeerServer,
+    clock: ManualClock.create(),
+    logger: SilentLogger.create(),
+    metrics: MemoryMetrics.create(),
+    random: () => 0,
+    incarnation: 'strong-1',
+  });
+  host.membership.takeOwner(ownerOn('strong-2', 5), 'news');
+  const take = handlers.get(PeerMethod.take);
+  const late = await take?.({owner: ownerOn('weak', 4)});
+  expect(late?.isLeft()).toBe(true);
+  expect(append).not.toHaveBeenCalled();
+  await take?.({owner: ownerOn('strong-2', 5)});
+  expect(append).toHaveBeenCalled();
+});
--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -383,6 +383,10 @@
       });
     });
     server.handle(PeerMethod.take, PeerMessages.take, async call => {
+      const known = this.membership.owner;
+      if (call.owner && known && known.epoch > call.owner.epoch) {
+        return Left(UnavailableError.create('the shard has a newer owner'));
+      }
       if (call.owner) this.membership.takeOwner(call.owner, 'news');
       if (this.isLeaving) {
         return Left(UnavailableError.create('this host is leaving too'));
