--- a/packages/cell-host/src/cell_host.test.ts
+++ b/packages/cell-host/src/cell_host.test.ts
@@ -1,4 +1,3 @@
-import type {OwnerRecord} from '@cardamomfield/cell-model';
 import {ManualClock} from '@cardamomfield/clock';
 import {UncertainError} from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
@@ -8,22 +7,13 @@
 import {CellHost} from './cell_host.js';
 import type {CellPorts} from './cell_ports.js';
 import type {CellSettings} from './cell_settings.js';
+import {ownerFixture} from './owner_fixture.js';
 import type {PeerClient} from './peer_client.js';
 import {PeerMethod} from './peer_method.js';
 import type {PeerServer} from './peer_server.js';
 
 type Handler = (parameters: unknown) => Promise<Either<unknown, unknown>>;
 
-function ownerOn(hostName: string, epoch: number): OwnerRecord {
-  return {
-    shard: 'cell-0',
-    epoch,
-    hostName,
-    address: `${hostName}:1`,
-    incarnation: hostName,
-  };
-}
-
 // Guards against a working owner that is replaced because a former one, or a host
 // whose claim took long, still asks others to take the shard.
 it('takes no shard from an owner newer than the one that asks', async () => {
@@ -56,11 +46,11 @@
     random: () => 0,
     incarnation: 'strong-1',
   });
-  host.membership.takeOwner(ownerOn('strong-2', 5), 'news');
+  host.membership.takeOwner(ownerFixture('strong-2', 5), 'news');
   const take = handlers.get(PeerMethod.take);
-  const late = await take?.({owner: ownerOn('weak', 4)});
+  const late = await take?.({owner: ownerFixture('weak', 4)});
   expect(late?.isLeft()).toBe(true);
   expect(append).not.toHaveBeenCalled();
-  await take?.({owner: ownerOn('strong-2', 5)});
+  await take?.({owner: ownerFixture('strong-2', 5)});
   expect(append).toHaveBeenCalled();
 });
--- a/packages/cell-host/src/host_ranking.test.ts
+++ b/packages/cell-host/src/host_ranking.test.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import {expect, it, vi} from 'vitest';
+import {hostFixture} from './host_fixture.js';
 import {HostRanking} from './host_ranking.js';
 
 vi.mock('node:crypto', async importOriginal => {
@@ -7,21 +8,14 @@
   return {...original, createHash: vi.fn(original.createHash)};
 });
 
-function host(name: string, milliCores: number) {
-  return {
-    name,
-    address: `${name}:1`,
-    region: 'region',
-    availabilityZone: 'zone',
-    incarnation: name,
-    milliCores,
-  };
-}
-
 // Guards against a weak host as owner of a shard that needs a strong one: its
 // appends and orders went out seconds late (246 workers on 0.32 of a core).
 it('puts the strongest hosts first', () => {
-  const hosts = [host('weak', 324), host('strong', 1_350), host('middle', 675)];
+  const hosts = [
+    hostFixture('weak', 324),
+    hostFixture('strong', 1_350),
+    hostFixture('middle', 675),
+  ];
   const ranking = HostRanking.create();
   for (let epoch = 0; epoch < 20; epoch++) {
     const names = ranking.rank(hosts, epoch).map(({name}) => name);
@@ -31,7 +25,7 @@
 
 // Guards against claims that always fall to the same host.
 it('changes the order of equal hosts with the epoch', () => {
-  const hosts = ['a', 'b', 'c'].map(name => host(name, 675));
+  const hosts = ['a', 'b', 'c'].map(name => hostFixture(name, 675));
   const ranking = HostRanking.create();
   const first = new Set(
     Array.from({length: 20}, (_, epoch) => ranking.rank(hosts, epoch)[0]?.name),
@@ -42,7 +36,7 @@
 // Guards against the processor time of an idle cell that grows with the square
 // of its hosts (incident SHORT).
 it('computes the order of a host once in an epoch', () => {
-  const hosts = ['a', 'b', 'c'].map(name => host(name, 675));
+  const hosts = ['a', 'b', 'c'].map(name => hostFixture(name, 675));
   const ranking = HostRanking.create();
   vi.mocked(createHash).mockClear();
   for (let turn = 0; turn < 10; turn++) ranking.rank(hosts, 1);
--- a/packages/cell-host/src/owner_election.test.ts
+++ b/packages/cell-host/src/owner_election.test.ts
@@ -1,34 +1,14 @@
-import type {HostRecord, OwnerRecord} from '@cardamomfield/cell-model';
 import {ManualClock} from '@cardamomfield/clock';
 import {UncertainError} from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
 import {Left, Right} from 'purify-ts';
 import {beforeEach, expect, it, vi} from 'vitest';
+import {hostFixture} from './host_fixture.js';
 import {Membership} from './membership.js';
 import {OwnerElection} from './owner_election.js';
+import {ownerFixture} from './owner_fixture.js';
 import type {PeerClient} from './peer_client.js';
 
-function host(name: string, milliCores: number): HostRecord {
-  return {
-    name,
-    address: `${name}:1`,
-    region: 'region',
-    availabilityZone: 'zone',
-    incarnation: name,
-    milliCores,
-  };
-}
-
-function ownerOn(hostName: string, epoch: number): OwnerRecord {
-  return {
-    shard: 'cell-0',
-    epoch,
-    hostName,
-    address: `${hostName}:1`,
-    incarnation: hostName,
-  };
-}
-
 /** A weak host; nobody answers it unless a test says otherwise. */
 let clock: ManualClock;
 let membership: Membership;
@@ -46,9 +26,9 @@
   readNewest.mockResolvedValue(noAnswer);
   clock = ManualClock.create();
   const logger = SilentLogger.create();
-  membership = Membership.create(host('weak', 324), clock, logger);
-  membership.takeHost(host('strong-1', 1_350));
-  membership.takeHost(host('strong-2', 1_350));
+  membership = Membership.create(hostFixture('weak', 324), clock, logger);
+  membership.takeHost(hostFixture('strong-1', 1_350));
+  membership.takeHost(hostFixture('strong-2', 1_350));
   election = OwnerElection.create({
     membership,
     peers: {call} as unknown as PeerClient,
@@ -69,7 +49,7 @@
 // hear it: the sign of life came while the host waited for its turn to claim
 // (ftmc-routes-grown trouble-1, 8 s without a shard).
 it('does not claim when the owner was heard during its turn', async () => {
-  membership.takeOwner(ownerOn('strong-1', 3), 'news');
+  membership.takeOwner(ownerFixture('strong-1', 3), 'news');
   call.mockImplementation(async (address: string) =>
     address === 'strong-2:1'
       ? Right({epoch: 3, heardMillisecondsAgo: 1e9, desiredStateVersion: 0})
@@ -89,7 +69,7 @@
 // Guards against the same: a host that is slow itself hears nobody, and so takes
 // itself for the strongest one left.
 it('does not claim at once when no host answers', async () => {
-  membership.takeOwner(ownerOn('strong-1', 3), 'news');
+  membership.takeOwner(ownerFixture('strong-1', 3), 'news');
   void election.run();
   await clock.advance(2_500);
   expect(append).not.toHaveBeenCalled();
@@ -101,7 +81,7 @@
 // Guards against a shard that stays with a host that cannot read its records: it
 // held the epoch, and its next claim came before those of stronger hosts.
 it('claims after all others when its own claim was not finished', async () => {
-  membership.takeOwner(ownerOn('weak', 4), 'news');
+  membership.takeOwner(ownerFixture('weak', 4), 'news');
   void election.run();
   await clock.advance(150);
   expect(append).not.toHaveBeenCalled();
--- a/packages/http-client/src/pending_answer.ts
+++ b/packages/http-client/src/pending_answer.ts
@@ -1,8 +1,7 @@
 import type {Dispatcher} from 'undici';
 
 /** A whole answer, or why there is none. */
-type Outcome =
-  {status: number; body: Buffer; thrown?: undefined} | {thrown: unknown};
+type Outcome = {status: number; body: Buffer} | {thrown: unknown};
 
 /**
  * Collects the answer to one call as it arrives. It is handed to the
