End the runs of a worker once another one answers at its address

What callers saw: after a crash of workers around a change of the owner, or during an outage of the store, tasks of live-watch did not run for 10 to 15 s although there was capacity for them (rule LOST, "is to last and doesn't run").

Cause: a poll that another worker answers (421, other ID) counted as silence. The owner kept the runs of the worker that had ended until the longest lease was over that it could hold: 5.5 s as a rule, 10.6 s if the log failed at the time, 14.2 s under a new owner. An order that got the same answer was already taken as a proof; polls were not.

Why this works: one process listens at an address, so an answer by another ID shows that the listed incarnation has ended. Runs of another incarnation than the listed one are left to their leases, since the entry may be outdated.

--- a/packages/cell-stand-ins/src/memory_cell_link.ts
+++ b/packages/cell-stand-ins/src/memory_cell_link.ts
@@ -65,6 +65,7 @@
       this.worker.stop(taskName, attempt, fencingToken),
     );
     if (result === undefined) return Left(UncertainError.create('no answer'));
+    if (this.worker.isReplaced) return Left(replacedError());
     return result ? Right(undefined) : Left(RefusedError.create('fenced'));
   }
 
@@ -80,6 +81,7 @@
       'written',
     );
     if (first === undefined) return Left(UncertainError.create('no answer'));
+    if (this.worker.isReplaced) return Left(replacedError());
     while (
       !this.worker.hasEndedRuns &&
       this.virtualClock.monotonicNow() < endsAt
@@ -135,3 +137,7 @@
     await this.clock.whenRunning();
   }
 }
+
+function replacedError(): RefusedError {
+  return RefusedError.create('another worker answered', {reason: 'other-life'});
+}
--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -38,6 +38,10 @@
   isUp = true;
   /** Whether the directory lists the worker. */
   isListed = true;
+  /** True once another worker answers at this worker's address. */
+  isReplaced = false;
+  /** True while the directory still has the entry of a worker that crashed. */
+  isEntryRetained = false;
   private bornAt: number;
   private startedAt: number;
   private highestFencingToken = 0;
@@ -108,15 +112,7 @@
 
   /** Restarts the worker under the same ID with all of its state lost. */
   restart(): void {
-    for (const name of this.runs.keys()) this.ledger.recordEnd(name, this.id);
-    this.incarnation++;
-    this.runs = new Map();
-    this.ends = [];
-    this.endCount = 0;
-    this.voidedUpTo = 0;
-    this.endedAttempts = new Map();
-    this.highestFencingToken = 0;
-    this.leaseEnd = 0;
+    this.loseState();
     this.bornAt = this.virtualClock.wallNow();
     this.startedAt = this.virtualClock.monotonicNow();
     this.isUp = false;
@@ -128,7 +124,22 @@
       });
   }
 
+  /**
+   * Ends the worker for good. It is unreachable until `replacedAt`; from then
+   * on a worker with another ID answers at its address.
+   */
+  replace(replacedAt: number): void {
+    this.loseState();
+    this.isUp = false;
+    this.isEntryRetained = true;
+    void this.virtualClock.sleepUntil(replacedAt).then(() => {
+      this.isUp = true;
+      this.isReplaced = true;
+    });
+  }
+
   start(order: StartOrder): StartOutcome {
+    if (this.isReplaced) return refused('other-life', 0);
     this.settle();
     const clock = this.clock();
     if (order.fence < this.highestFencingToken) return refused('fenced', clock);
@@ -204,6 +215,18 @@
     }
   }
 
+  private loseState(): void {
+    for (const name of this.runs.keys()) this.ledger.recordEnd(name, this.id);
+    this.incarnation++;
+    this.runs = new Map();
+    this.ends = [];
+    this.endCount = 0;
+    this.voidedUpTo = 0;
+    this.endedAttempts = new Map();
+    this.highestFencingToken = 0;
+    this.leaseEnd = 0;
+  }
+
   private longestRun(): number {
     return this.random.fraction() < LONG_RUN_SHARE
       ? MAXIMUM_LONG_RUN_MILLISECONDS
@@ -261,7 +284,7 @@
 }
 
 function refused(
-  reason: 'fenced' | 'superseded' | 'late',
+  reason: 'fenced' | 'superseded' | 'late' | 'other-life',
   clock: number,
 ): StartOutcome {
   return {kind: 'refused', reason, clock};
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -140,7 +140,9 @@
     while (!signal.aborted) {
       for (const [id, worker] of this.options.workers) {
         if (!worker.isListed) onChange(id, undefined);
-        else if (worker.isUp) onChange(id, worker.describe());
+        else if (worker.isUp || worker.isEntryRetained) {
+          onChange(id, worker.describe());
+        }
       }
       await this.clock.sleepUntil(
         this.clock.monotonicNow() + DIRECTORY_POLL_MILLISECONDS,
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -1,10 +1,10 @@
 import type {StartOutcome, WorkerLink} from '@cardamomfield/cell-model';
 import type {Run, WorkerState} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
-import {RefusedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
 import {confirmStart} from './confirm_start.js';
+import {isFromOtherWorker} from './is_from_other_worker.js';
 import type {LastPoll} from './last_poll.js';
 import type {OwnerTiming} from './owner_timing.js';
 import type {RunTracker} from './run_tracker.js';
@@ -121,11 +121,7 @@
         await this.confirmStopped(run, answeredAt);
         return;
       }
-      const error = result.extract();
-      if (
-        error instanceof RefusedError &&
-        error.details.reason === 'other-life'
-      ) {
+      if (isFromOtherWorker(result.extract())) {
         runs.markLost(run, 'worker replaced');
         return;
       }
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -17,6 +17,7 @@
 import type {OwnerTiming} from './owner_timing.js';
 import {confirmStart} from './confirm_start.js';
 import {endsSoon} from './ends_soon.js';
+import {isFromOtherWorker} from './is_from_other_worker.js';
 import type {LastPoll} from './last_poll.js';
 import type {RunTracker} from './run_tracker.js';
 import {RunOrders} from './run_orders.js';
@@ -274,17 +275,33 @@
       this.pausesAtReport = pausesBefore;
       return result.unsafeCoerce();
     }
+    const error = result.extract() as Error;
     if (link === this.link && this.isReachable) {
       this.isReachable = false;
       logger.warn('worker unreachable', {
         worker: this.worker.id,
-        cause: (result.extract() as Error).message,
+        cause: error.message,
       });
     }
     this.worker.isUsable = false;
+    if (link === this.link && isFromOtherWorker(error)) this.endReplacedRuns();
     return undefined;
   }
 
+  /**
+   * Another worker answers at the address, so the listed incarnation has ended
+   * and its runs with it, whatever their leases say.
+   */
+  private endReplacedRuns(): void {
+    const {bornAtUnixMilliseconds} = this.worker.description;
+    for (const run of [...this.worker.runs.values()]) {
+      if (run.phase === 'recording') continue;
+      // The entry may be older than the incarnation that holds the run.
+      if (run.task.workerBornAt !== bornAtUnixMilliseconds) continue;
+      this.options.runs.markLost(run, 'worker replaced');
+    }
+  }
+
   private pollWait(): number {
     if (this.bornAt === 0 || this.hasUnknownRuns) return 0;
     if (this.worker.runs.size === 0) return IDLE_POLL_WAIT_MILLISECONDS;
