Preempt different runs for steps that wait at the same time

What callers saw: in a full cell, after many tasks had lost their workers, submissions waited seconds for capacity that was being freed for others, and route-plan, which is preempted first, made no progress meanwhile.

Cause: the choice of runs to preempt did not regard what an earlier step of the same pass, or a step that still waits for its reservation, had chosen. All steps chose the cheapest runs, the reservation went to the last of them, and the others did not try again for 2.5 s.

Why this works: a worker whose capacity is being freed for a step of at least equal precedence is not considered for another one until that step is placed or its reservation ends. The new test gave one run for two steps before.

--- a/packages/cell-scheduler/src/preemption_policy.test.ts
+++ b/packages/cell-scheduler/src/preemption_policy.test.ts
@@ -55,6 +55,26 @@
     expect(placements.map(({step}) => step.submission.id)).toEqual(['equal']);
   });
 
+  // Load: a burst of urgent steps in a full cell. Guards against steps that all
+  // preempt the same runs, so that only the first of them gets the capacity and
+  // the others wait for a reservation in vain.
+  it('preempts different runs for steps that wait at the same time', () => {
+    const cell = createFullCell();
+    cell.state.add(createSubmission('first', {}, {priority: 0}));
+    cell.state.add(createSubmission('second', {}, {priority: 0}));
+    cell.pass(10);
+    const victims = cell.pass(10 + WAITED).preemptions;
+    expect(victims).toHaveLength(2);
+    expect(new Set(victims).size).toBe(2);
+    for (const victim of victims) cell.end(victim);
+    expect(
+      cell
+        .pass(20 + WAITED)
+        .placements.map(({step}) => step.submission.id)
+        .sort(),
+    ).toEqual(['first', 'second']);
+  });
+
   // Guards against services that are stopped in favour of other work.
   it('never stops services or work of equal or higher priority', () => {
     const cell = CellFixture.create();
--- a/packages/cell-scheduler/src/preemption_policy.ts
+++ b/packages/cell-scheduler/src/preemption_policy.ts
@@ -81,6 +81,7 @@
       [];
     for (const worker of workers) {
       if (!this.choice.isEligible(step, worker, now)) continue;
+      if (isClaimedByOther(step, worker, now)) continue;
       const runs = this.victimsOn(step, worker, now);
       if (!runs) continue;
       const cost = runs.reduce((sum, run) => sum + lostWork(run, now), 0);
@@ -119,6 +120,21 @@
   }
 }
 
+/**
+ * True while another step of at least equal precedence waits for capacity that
+ * is being freed on the worker. Its runs are preempted for one step at a time.
+ */
+function isClaimedByOther(
+  step: StepState,
+  worker: WorkerState,
+  now: number,
+): boolean {
+  const holder = worker.reservedFor;
+  if (!holder || holder === step || worker.reservedUntil <= now) return false;
+  if (holder.isUnderWay) return false;
+  return holder.submission.queue.priority <= step.submission.queue.priority;
+}
+
 function isPreemptible(step: StepState, run: Run): boolean {
   const {specification, submission} = run.step;
   if (run.phase !== 'running' || specification.isService) return false;
