--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -95,6 +95,8 @@
   private ownerLogDownSince: number | undefined;
   /** Monotonic time since which no host has answered; undefined otherwise. */
   private isolatedSince: number | undefined;
+  /** Answers of the hosts that were last asked about the owner, for the log. */
+  private lastPeerAnswers = '';
   private isStopped = false;
   private isClaiming = false;
 
@@ -181,6 +183,17 @@
     );
     const claimAt =
       silenceDetectedAt + claimDelay + random() * CLAIM_JITTER_MILLISECONDS;
+    this.options.logger.warn('claim of the shard scheduled', {
+      owner: owner?.hostName,
+      epoch: owner?.epoch,
+      silenceMilliseconds: Math.round(
+        silenceDetectedAt - membership.lastOwnerContactAt,
+      ),
+      limitMilliseconds: this.silenceLimit(),
+      peerAnswers: this.lastPeerAnswers,
+      rank: this.rank(),
+      delayMilliseconds: claimDelay,
+    });
     // After a long delay the last ping is outdated, so another one is sent.
     await Promise.all([
       owner && claimDelay > PING_TIMEOUT_MILLISECONDS
@@ -391,6 +404,7 @@
         return hasRecentContact ? 'hears' : 'does-not-hear';
       }),
     );
+    this.lastPeerAnswers = answers.join(' ');
     if (answers.includes('hears')) return true;
     const isAnswered = answers.some(answer => answer !== 'silent');
     return others.length > 0 && this.mayBeIsolated(isAnswered);
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -13,6 +13,7 @@
   RecordCodec,
   type Run,
   Scheduler,
+  type SchedulingPass,
   ShardState,
   StallPolicy,
   SubmissionRecord,
@@ -58,6 +59,12 @@
  */
 const SESSION_CHECK_MILLISECONDS = 50;
 
+/** A scheduling pass that takes this long is logged. */
+const SLOW_PASS_MILLISECONDS = 50;
+
+/** Shortest interval between two log lines about slow passes. */
+const SLOW_PASS_LOG_MILLISECONDS = 500;
+
 /** Safety margin added to the time at which earlier owners' leases expire. */
 const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
 
@@ -97,6 +104,8 @@
   private passDelayMilliseconds = COALESCE_MILLISECONDS;
   /** Monotonic time of the next check of all sessions. */
   private sessionCheckAt = 0;
+  /** Monotonic time before which no slow pass is logged. */
+  private slowPassLogAt = 0;
 
   private constructor(private readonly options: ShardOwnerOptions) {
     const {claim, clock, logger, metrics} = options;
@@ -319,8 +328,15 @@
       this.hasChanged = false;
       const startedAt = clock.monotonicNow();
       if (startedAt >= this.sessionCheckAt) this.tick(startedAt);
-      this.schedule();
-      const spent = clock.monotonicNow() - startedAt;
+      const checkedAt = clock.monotonicNow();
+      const pass = this.schedule();
+      const endedAt = clock.monotonicNow();
+      const spent = endedAt - startedAt;
+      this.options.metrics.timing('pass_milliseconds', spent);
+      if (spent >= SLOW_PASS_MILLISECONDS && endedAt >= this.slowPassLogAt) {
+        this.slowPassLogAt = endedAt + SLOW_PASS_LOG_MILLISECONDS;
+        this.logSlowPass(pass, checkedAt - startedAt, endedAt - checkedAt);
+      }
       this.passDelayMilliseconds = Math.min(
         MAXIMUM_PASS_DELAY_MILLISECONDS,
         Math.max(COALESCE_MILLISECONDS, spent * PASS_DELAY_FACTOR),
@@ -353,7 +369,25 @@
     this.orphanedRuns.clear();
   }
 
-  private schedule(): void {
+  private logSlowPass(
+    pass: SchedulingPass | undefined,
+    checkMilliseconds: number,
+    scheduleMilliseconds: number,
+  ): void {
+    this.options.logger.warn('scheduling pass was slow', {
+      epoch: this.epoch,
+      checkMilliseconds: Math.round(checkMilliseconds),
+      scheduleMilliseconds: Math.round(scheduleMilliseconds),
+      submissions: this.state.submissions.size,
+      workers: this.state.workers.size,
+      placed: pass?.placements.length ?? 0,
+      queries: pass?.adviceQueries.length ?? 0,
+      preempted: pass?.preemptions.length ?? 0,
+    });
+  }
+
+  /** Runs one pass; undefined while the owner may not decide. */
+  private schedule(): SchedulingPass | undefined {
     if (!this.journal.hasAuthority() || this.journal.isLogDown()) return;
     const {clock} = this.options;
     const runs: Run[] = [];
@@ -381,6 +415,7 @@
       this.stopRun(run);
     }
     if (runs.length > 0) void this.startAll(runs);
+    return pass;
   }
 
   /** Sends the start orders of runs once their intents are durable. */
