Read the log for a newer owner only after a second lost claim

What callers saw: at size, after all processes had been killed, submissions waited or failed for eight seconds although the shard had an owner.

Cause: each host whose claim lost to a newer owner read all records of the shard to learn its name. Hosts claim within a second of each other, so many read at the same time, the weaker ones for 2 to 3 s each, beside the new owner's own recovery.

Why this works: the new owner tells all hosts, peers name it in their answers, and the directory shows it. The log is read if a host still has not learnt of it at its next claim, as when the new owner has ended before it told anybody. The new test counted one read after the first lost claim before.

--- a/packages/cell-host/src/owner_election.test.ts
+++ b/packages/cell-host/src/owner_election.test.ts
@@ -1,5 +1,5 @@
 import {ManualClock} from '@cardamomfield/clock';
-import {UncertainError} from '@cardamomfield/errors';
+import {ConflictError, UncertainError} from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
 import {Left, Right} from 'purify-ts';
 import {beforeEach, expect, it, vi} from 'vitest';
@@ -98,3 +98,13 @@
   expect(onUnfinishedClaim).toHaveBeenCalledTimes(1);
   expect(membership.owner).toMatchObject({epoch: 1, hostName: 'weak'});
 });
+
+// Guards against many hosts that read all records of the shard at the same time
+// because each of them lost a claim to the same new owner.
+it('reads the log for a newer owner only after a second lost claim', async () => {
+  append.mockResolvedValue(Left(ConflictError.create('higher epoch')));
+  await election.claim('no owner');
+  expect(readNewest).not.toHaveBeenCalled();
+  await election.claim('no owner');
+  expect(readNewest).toHaveBeenCalledTimes(1);
+});
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -4,7 +4,7 @@
   type ShardLog,
 } from '@cardamomfield/cell-model';
 import type {Clock} from '@cardamomfield/clock';
-import type {TypedError} from '@cardamomfield/errors';
+import {ConflictError, type TypedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import {type ShardClaim, claimShard} from '@cardamomfield/shard-owner';
 import {HostRanking} from './host_ranking.js';
@@ -97,6 +97,12 @@
   private isolatedSince: number | undefined;
   /** Answers of the hosts that were last asked about the owner, for the log. */
   private lastPeerAnswers = '';
+  /**
+   * Known epoch at the last claim that lost to a newer owner. Peers and the
+   * directory name that owner as a rule; the log is read for it only when they
+   * have not done so by the next claim.
+   */
+  private lostClaimEpoch: number | undefined;
   private isStopped = false;
   private isClaiming = false;
 
@@ -138,12 +144,14 @@
       clock,
       claimant,
       random: this.options.random,
+      readsNewerOwner: this.lostClaimEpoch === claimant.epoch,
     });
     this.isClaiming = false;
     const milliseconds = Math.round(clock.monotonicNow() - startedAt);
     if (result.isLeft()) {
       const error = result.extract() as TypedError;
       logger.warn('claim failed', {reason, cause: error.message, milliseconds});
+      if (error instanceof ConflictError) this.lostClaimEpoch = claimant.epoch;
       const newer = OwnerRecord.safeParse(error.details.owner);
       if (newer.success) membership.updateOwner(newer.data, 'news');
       if (error.details.isUnfinished === true) this.options.onUnfinishedClaim();
@@ -398,6 +406,7 @@
           return details.isRefused === true ? 'gone' : 'silent';
         }
         const answer = result.unsafeCoerce();
+        if (answer.owner) membership.updateOwner(answer.owner, 'news');
         const hasRecentContact =
           answer.epoch >= owner.epoch &&
           answer.heardMillisecondsAgo < RECENT_CONTACT_MILLISECONDS;
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -75,6 +75,7 @@
         incarnation: `${name}-${incarnation}`,
       },
       random: () => random.fraction(),
+      readsNewerOwner: true,
     });
     this.isClaiming = false;
     if (claim.isLeft() || incarnation !== this.incarnation) return;
--- a/packages/shard-owner/src/claim_shard.ts
+++ b/packages/shard-owner/src/claim_shard.ts
@@ -30,6 +30,11 @@
   /** The claimant, with the epoch of the owner that it replaces. */
   claimant: OwnerRecord;
   random: () => number;
+  /**
+   * Whether a claim that loses to a newer owner reads the log to name that
+   * owner. All records are read for this, so other sources come first.
+   */
+  readsNewerOwner: boolean;
 }
 
 /**
@@ -47,7 +52,11 @@
   const record = {key: OWNER_KEY, value: JSON.stringify(claim)};
   const sentAt = clock.monotonicNow();
   const appended = await appendClaim(log, record, claim.epoch, sequence);
-  if (appended.extract() instanceof ConflictError) return findNewerOwner(log);
+  if (appended.extract() instanceof ConflictError) {
+    return options.readsNewerOwner
+      ? findNewerOwner(log)
+      : Left(ConflictError.create('the shard has a newer owner'));
+  }
   if (appended.isLeft()) return appended as Either<TypedError, never>;
   const read = await log.readNewest();
   if (read.isLeft()) {
