Keep a worker approved when its ticket has expired

Cause: the refusal deleted the worker's entry among the tickets, and a worker that was queried but has no entry counts as one that the service did not approve. The service's answer for a step and a worker does not change, so that worker was lost to the step for good; with few approved workers the step ran out of them.

Now `StepAdvice` tells approval and ticket apart: a refused ticket is marked as expired, unless a newer one has arrived, and the worker stays approved while its incarnation lasts. Approval is also compared with the incarnation everywhere: preemption counted a restarted worker as approved by the ticket of its earlier incarnation.

A ticket can also run out while the intent of a start is being recorded. The ticket is now checked when the start is sent: the run takes the last ticket of its worker, or ends before anything was sent, so that its task is placed again at once. Repeats of a start that was sent are as before.

--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -108,7 +108,7 @@
       if (count >= minimum && expectedCapacity >= waitingCount) break;
       // A worker that was approved stays approved. Any other worker is approved
       // with an assumed probability.
-      const approvalProbability = step.advice.tickets.has(worker.id)
+      const approvalProbability = step.advice.isApproved(worker)
         ? 1
         : APPROVED_SHARE;
       expectedCapacity +=
@@ -123,10 +123,7 @@
     if (!this.choice.hasLabel(step, worker)) return false;
     // The service's answer for a worker does not change while the worker's
     // incarnation lasts.
-    return (
-      !step.advice.queriedWorkers.has(incarnationKey(worker)) ||
-      step.advice.tickets.has(worker.id)
-    );
+    return !step.advice.isRejected(worker);
   }
 
   private hasUsableCapacity(
@@ -213,7 +210,3 @@
   const total = (elapsedAtProgress * 100) / run.progressPercent;
   return total - (now - (run.runningSince ?? now));
 }
-
-function incarnationKey(worker: WorkerState): string {
-  return `${worker.id}@${worker.description.bornAtUnixMilliseconds}`;
-}
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -249,7 +249,7 @@
     const workers: WorkerState[] = [];
     for (const id of step.advice.tickets.keys()) {
       const worker = this.state.workers.get(id);
-      if (worker) workers.push(worker);
+      if (worker && step.advice.isApproved(worker)) workers.push(worker);
     }
     return workers;
   }
--- a/packages/cell-stand-ins/src/host_overrides.ts
+++ b/packages/cell-stand-ins/src/host_overrides.ts
@@ -1,4 +1,4 @@
-import type {ShardLog, WorkerLink} from '@cardamomfield/cell-model';
+import type {Adviser, ShardLog, WorkerLink} from '@cardamomfield/cell-model';
 
 /**
  * Replaces parts of a simulated host, to observe its calls or to inject a
@@ -9,4 +9,6 @@
   /** Longest lease of the workers, if it differs from the one owners assume. */
   longestLeaseMilliseconds?: number;
   wrapLink?: (link: WorkerLink) => WorkerLink;
+  /** Client of the advice service; without one, no host queries advice. */
+  adviser?: Adviser;
 }
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -60,6 +60,7 @@
   /** Claims the shard with the epoch that follows the given one. */
   async claim(epoch: number): Promise<void> {
     const {name, random} = this.options;
+    const {adviser} = this.options.overrides;
     if (this.owner || this.isClaiming) return;
     this.isClaiming = true;
     const incarnation = ++this.incarnation;
@@ -85,7 +86,7 @@
       directory: {
         follow: (onChange, signal) => this.followWorkers(onChange, signal),
       },
-      adviceChannels: () => [],
+      adviceChannels: () => (adviser ? [{hostName: name, adviser}] : []),
       clock: this.clock,
       logger: SilentLogger.create(),
       metrics: MemoryMetrics.create(),
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -69,6 +69,10 @@
         return;
       }
       if (!mayOrder) break;
+      if (attempt === 0 && !this.renewTicket(run)) {
+        runs.markLost(run, 'ticket expired before the start was sent');
+        return;
+      }
       const outcome = await this.sendStart(run);
       // The phase may have changed while the call was in flight.
       if (
@@ -198,10 +202,23 @@
     if (result.isLeft()) run.pacePercent = percent === 100 ? 99 : 100;
   }
 
+  /**
+   * Gives a run the last ticket of its worker, because the log may have taken
+   * long to record the intent. Returns false when that ticket has expired too.
+   */
+  private renewTicket(run: Run): boolean {
+    if (run.ticket === '') return true;
+    const {worker, clock} = this.options;
+    const ticket = run.step.advice.ticketFor(worker, clock.monotonicNow());
+    if (ticket === undefined) return false;
+    run.ticket = ticket;
+    return true;
+  }
+
   private handleRefusal(run: Run, reason: string): void {
     const {clock} = this.options;
     if (reason === 'ticket-expired') {
-      run.step.advice.tickets.delete(this.options.worker.id);
+      run.step.advice.expire(run.workerId, run.ticket);
     }
     if (reason === 'unhealthy' || reason === 'no-room') {
       this.options.worker.avoidUntil =
