Do not count the delay of an answer as validity of its tickets

Starts were refused because their tickets had expired although the owner still held them for valid.

Cause: the service counts the validity from its own answer, the owner counted it from the receipt. An answer that came through another host or over a slow network made its tickets look valid too long by its delay.

The owner cannot see when the service answered, but it knows when it should have: once the earlier queries on that channel and this one have had their announced times. Whatever an answer is later than that counts as its age now. An answer in time loses nothing, also when it waited for its turn.

--- a/packages/shard-owner/src/advice_dispatcher.ts
+++ b/packages/shard-owner/src/advice_dispatcher.ts
@@ -101,7 +101,7 @@
     const {step} = query;
     const load = this.loadOf(channel.hostName);
     const isLong = expected >= LONG_QUERY_MILLISECONDS;
-    const timeout = load.expectedMilliseconds + expected;
+    const untilAnswer = load.expectedMilliseconds + expected;
     step.advice.isQueryInFlight = true;
     load.queries++;
     load.expectedMilliseconds += expected;
@@ -113,7 +113,7 @@
     const result = await channel.adviser.ask(
       step.name,
       query.workerIds,
-      timeout + TIMEOUT_MARGIN_MILLISECONDS,
+      untilAnswer + TIMEOUT_MARGIN_MILLISECONDS,
     );
     const now = clock.monotonicNow();
     load.queries--;
@@ -125,7 +125,11 @@
       step.advice.notBefore = now + RETRY_DELAY_MILLISECONDS;
     } else {
       const advice = result.unsafeCoerce();
-      saveTickets(step, bornAt, advice.tickets, now + advice.validMilliseconds);
+      // The validity counts from the service's answer. A late one may have been
+      // under way for as long as it is late.
+      const issuedAt = Math.min(now, sentAt + untilAnswer);
+      const validUntil = issuedAt + advice.validMilliseconds;
+      saveTickets(step, bornAt, advice.tickets, validUntil);
     }
     metrics.timing('advice_milliseconds', now - sentAt, {
       outcome: result.isRight() ? 'answered' : 'failed',
