Treat a malformed answer of the advice service as a failed query

After one answer without valid JSON a step was never queried again, so its tasks waited for good, and the channel looked busy for good.

Cause: the client parsed the body without handling the exception. The daemon logged an unhandled rejection, and the dispatcher never reset the flag of the step and the load of the channel.

The dispatcher in addition turns any error of a client into a failed query, and gives a query up that has not ended 0.5 s after its time-out, so that it resets its state whatever the client does.

--- a/packages/shard-owner/src/advice_dispatcher.test.ts
+++ b/packages/shard-owner/src/advice_dispatcher.test.ts
@@ -78,6 +78,33 @@
       ],
     );
   });
+
+  // Guards against a step that is never queried again, and a channel that looks
+  // busy for ever, after an unexpected error of the client.
+  it('queries again after a client has raised an error', async () => {
+    const step = createStep('a');
+    let calls = 0;
+    const dispatcher = createDispatcher(async () => {
+      calls++;
+      throw new SyntaxError('unexpected');
+    });
+    for (let query = 1; query <= 20; query++) {
+      dispatcher.send([{step, workerIds: ['w']}]);
+      expect(step.advice.isQueryInFlight).toBe(true);
+      await clock.advance(2_000);
+      expect({query, calls}).toEqual({query, calls: query});
+      expect(step.advice.isQueryInFlight).toBe(false);
+    }
+  });
+
+  // Guards against the same by a call that is never answered.
+  it('gives up a query that is not answered in time', async () => {
+    const step = createStep('a');
+    const dispatcher = createDispatcher(() => new Promise(() => {}));
+    dispatcher.send([{step, workerIds: ['w']}]);
+    await clock.advance(5_000);
+    expect(step.advice.isQueryInFlight).toBe(false);
+  });
 });
 
 function createWorker(): WorkerState {
--- a/packages/shard-owner/src/advice_dispatcher.ts
+++ b/packages/shard-owner/src/advice_dispatcher.ts
@@ -1,8 +1,15 @@
+import type {Advice} from '@cardamomfield/cell-model';
 import type {AdviceQuery, StepState} from '@cardamomfield/cell-scheduler';
 import type {WorkerState} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
+import {
+  type TypedError,
+  UncertainError,
+  toTypedError,
+} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
+import {type Either, Left} from 'purify-ts';
 import type {AdviceChannel} from './advice_channel.js';
 
 /** Queries expected to take at least this long count as long. */
@@ -23,6 +30,9 @@
 /** Added to the expected response time of a query to get its time-out. */
 const TIMEOUT_MARGIN_MILLISECONDS = 1_500;
 
+/** A query that is still unanswered this long after its time-out is given up. */
+const GIVE_UP_MARGIN_MILLISECONDS = 500;
+
 /** Delay before a step is queried again after a failed query. */
 const RETRY_DELAY_MILLISECONDS = 250;
 
@@ -110,9 +120,9 @@
       query.workerIds.map(id => [id, this.bornAt(id)] as const),
     );
     const sentAt = clock.monotonicNow();
-    const result = await channel.adviser.ask(
-      step.name,
-      query.workerIds,
+    const result = await this.ask(
+      query,
+      channel,
       untilAnswer + TIMEOUT_MARGIN_MILLISECONDS,
     );
     const now = clock.monotonicNow();
@@ -145,6 +155,33 @@
     this.options.onChange();
   }
 
+  /**
+   * Asks the service. Every outcome is a value, even an error that the client
+   * raises or a call that never ends, so that the step can be queried again.
+   */
+  private async ask(
+    {step, workerIds}: AdviceQuery,
+    {adviser}: AdviceChannel,
+    timeoutMilliseconds: number,
+  ): Promise<Either<TypedError, Advice>> {
+    const {clock} = this.options;
+    const answered = new AbortController();
+    const giveUpAt =
+      clock.monotonicNow() + timeoutMilliseconds + GIVE_UP_MARGIN_MILLISECONDS;
+    try {
+      return await Promise.race([
+        adviser.ask(step.name, workerIds, timeoutMilliseconds),
+        clock
+          .sleepUntil(giveUpAt, answered.signal)
+          .then(() => Left(UncertainError.create('the query never ended'))),
+      ]);
+    } catch (thrown) {
+      return Left(toTypedError(thrown));
+    } finally {
+      answered.abort();
+    }
+  }
+
   private bornAt(workerId: string): number {
     return (
       this.options.workers.get(workerId)?.description.bornAtUnixMilliseconds ??
