Name workers that the step can use first in queries for advice

Tasks waited for good with room for them (LOST): every query of their step named the same ten workers, on none of which the task could start, and never the approved ones with room.

Cause: a query took every worker with free capacity for a candidate and named those with the most free processors first.

Now the planner asks the same question as the scheduler. Only workers on which a waiting task could be placed now come first, count as capacity and make a further query useful. The others fill up a query as before, by up to 20, but only up to the minimum of ten when the usable ones are enough; workers at the step's limit are not named at all, because the step has nothing to place there. So queries do not get longer: the existing bounds hold.

Tests: `advice_planner.test.ts`, 40 large workers that cannot be used and 30 small ones that can, for each of the five reasons.

--- a/packages/cell-scheduler/src/advice_planner.test.ts
+++ b/packages/cell-scheduler/src/advice_planner.test.ts
@@ -1,6 +1,8 @@
 import {describe, expect, it} from 'vitest';
 import {CellFixture} from './cell_fixture.js';
 import {createSubmission} from './step_fixture.js';
+import type {StepState} from './step_state.js';
+import type {WorkerState} from './worker_state.js';
 
 const ADVICE = {
   decisionMilliseconds: 430,
@@ -55,6 +57,97 @@
     expect(query?.workerIds.every(id => id.startsWith('w'))).toBe(true);
   });
 
+  // Guards against tasks that wait for good although an approved worker has
+  // room: queries named only workers that the step could not use now, because
+  // these had the most free processors (rule LOST).
+  describe.each([
+    [
+      'workers at the limit of the step',
+      (cell: CellFixture, step: StepState, workers: WorkerState[]) => {
+        for (const [index, worker] of workers.entries()) {
+          cell.run(step, step.tasks[index + 1]!, worker);
+        }
+      },
+    ],
+    [
+      'workers that are avoided after failures',
+      (_cell: CellFixture, _step: StepState, workers: WorkerState[]) => {
+        for (const worker of workers) worker.avoidUntil = 3_000;
+      },
+    ],
+    [
+      'workers that the directory does not list',
+      (_cell: CellFixture, _step: StepState, workers: WorkerState[]) => {
+        for (const worker of workers) worker.isListed = false;
+      },
+    ],
+    [
+      'workers that are reserved for another step',
+      (cell: CellFixture, _step: StepState, workers: WorkerState[]) => {
+        const urgent = createSubmission('urgent', {}, {priority: 0});
+        // Its task may not be placed yet, but its reservations last.
+        urgent.stepsOf(0)[0]!.tasks[0]!.notBefore = 9_000;
+        cell.state.add(urgent);
+        for (const worker of workers) {
+          worker.reservedFor = urgent.stepsOf(0)[0];
+          worker.reservedUntil = 9_000;
+        }
+      },
+    ],
+    [
+      'workers that still have an earlier run of the task',
+      (cell: CellFixture, step: StepState, workers: WorkerState[]) => {
+        const [task] = step.tasks;
+        for (const worker of workers) {
+          cell.run(step, task!, worker);
+          task!.run = undefined;
+          task!.phase = 'waiting';
+        }
+      },
+    ],
+  ] as const)('with %s', (_name, prepare) => {
+    const LARGE = 40;
+    const SMALL = 30;
+
+    function createCell() {
+      const cell = CellFixture.create();
+      const large: WorkerState[] = [];
+      for (let index = 0; index < LARGE; index++) {
+        const capacity = {milliCores: 32_000, memoryMegabytes: 32_000};
+        large.push(cell.addWorker(`large${index}`, capacity));
+      }
+      const submission = createSubmission(
+        'a',
+        {taskCount: LARGE + 1, maximumPerWorker: 1, isService: true},
+        {advice: ADVICE},
+      );
+      cell.state.add(submission);
+      const [step] = submission.stepsOf(0);
+      // All tasks but the first one are under way elsewhere.
+      const [, ...others] = step!.tasks;
+      for (const task of others) task.phase = 'placed';
+      prepare(cell, step!, large);
+      return {cell, step: step!};
+    }
+
+    it('names workers that the step can use', () => {
+      const {cell} = createCell();
+      for (let index = 0; index < SMALL; index++) {
+        cell.addWorker(`small${index}`);
+      }
+      const [query] = cell.pass(0).adviceQueries;
+      expect(query?.workerIds).toHaveLength(10);
+      expect(query?.workerIds.every(id => id.startsWith('small'))).toBe(true);
+    });
+
+    it('sends no further query while none of the workers can be used', () => {
+      const {cell, step} = createCell();
+      // The first query is sent in any case.
+      step.advice.queriedWorkers.add('elsewhere@1');
+      expect(cell.pass(0).adviceQueries).toEqual([]);
+    });
+  });
+
   // Load: submissions of several short steps while the advice service answers
   // slowly. Guards against a step that is ready but still waits for advice.
   it('queries advice for a step shortly before the step is ready', () => {
--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -10,7 +10,7 @@
 const MAXIMUM_NAMED_WORKERS = 100;
 
 /**
- * A query names at least this many workers, if as many have capacity. Fewer
+ * A query names at least this many workers, if as many are usable. Fewer
  * would not justify a query of their own.
  */
 const MINIMUM_NAMED_WORKERS = 10;
@@ -23,10 +23,10 @@
 const NAMING_BUDGET_MILLISECONDS = 15;
 
 /**
- * Maximum number of workers without capacity that are named in addition, when
- * a query already names all workers with capacity.
+ * Maximum number of workers that the step cannot use now that are named in
+ * addition, when a query already names all usable ones.
  */
-const NAMED_WORKERS_WITHOUT_CAPACITY = 20;
+const NAMED_WORKERS_NOT_USABLE = 20;
 
 /** Share of the named workers that is assumed to be approved. */
 const APPROVED_SHARE = 0.3;
@@ -40,6 +40,13 @@
  */
 const AHEAD_SHARE = 0.5;
 
+/** A worker on which waiting tasks of a step could be placed now. */
+interface UsableWorker {
+  worker: WorkerState;
+  /** Number of the waiting tasks that fit. */
+  fits: number;
+}
+
 /** Decides which queries to the advice service are worth sending. */
 export class AdvicePlanner {
   private constructor(private readonly choice: WorkerChoice) {}
@@ -55,30 +62,52 @@
    */
   queryFor(
     step: StepState,
-    waitingCount: number,
+    waiting: TaskState[],
     workers: WorkerState[],
     now: number,
   ): AdviceQuery | undefined {
     const {advice} = step;
     if (advice.isQueryInFlight || advice.notBefore > now) return undefined;
     advice.notBefore = now + RECHECK_MILLISECONDS;
-    const candidates = workers.filter(worker => this.isQueryable(step, worker));
-    if (candidates.length === 0) return undefined;
-    const withCapacity = inQueryOrder(
-      step,
-      candidates.filter(worker => this.hasUsableCapacity(step, worker, now)),
+    const counts = step.countByWorker();
+    const candidates = workers.filter(
+      worker =>
+        this.isQueryable(step, worker) &&
+        placesLeft(step, counts.get(worker.id) ?? 0) > 0,
     );
+    // A worker counts as usable only if the step could be placed there now.
+    // Otherwise workers that the step cannot use would take the place of
+    // approved ones with capacity in every query.
+    const usable: UsableWorker[] = [];
+    for (const worker of candidates) {
+      const count = counts.get(worker.id) ?? 0;
+      const fits = this.usableFits(step, waiting, worker, count, now);
+      if (fits > 0) usable.push({worker, fits});
+    }
     const isFirstQuery = advice.queriedWorkers.size === 0;
-    const isUseful = withCapacity.some(
-      worker => !this.hasTicket(step, worker, now),
+    const isUseful = usable.some(
+      ({worker}) => !this.hasTicket(step, worker, now),
     );
     if (!isFirstQuery && !isUseful) return undefined;
-    const named = this.selectEnough(step, waitingCount, withCapacity);
-    if (named.length === withCapacity.length) {
+    const {named, isEnough} = this.selectEnough(
+      step,
+      waiting.length,
+      inQueryOrder(step, usable),
+    );
+    if (named.length === usable.length) {
       const alreadyNamed = new Set(named);
       const others = candidates.filter(worker => !alreadyNamed.has(worker));
-      named.push(...others.slice(0, NAMED_WORKERS_WITHOUT_CAPACITY));
+      const missing = Math.max(0, minimumNamedWorkers(step) - named.length);
+      named.push(
+        ...others.slice(
+          0,
+          isEnough
+            ? Math.min(missing, NAMED_WORKERS_NOT_USABLE)
+            : NAMED_WORKERS_NOT_USABLE,
+        ),
+      );
     }
+    if (named.length === 0) return undefined;
     return {
       step,
       workerIds: named.slice(0, MAXIMUM_NAMED_WORKERS).map(({id}) => id),
@@ -99,23 +128,22 @@
   private selectEnough(
     step: StepState,
     waitingCount: number,
-    withCapacity: WorkerState[],
-  ): WorkerState[] {
+    usable: UsableWorker[],
+  ): {named: WorkerState[]; isEnough: boolean} {
     const minimum = minimumNamedWorkers(step);
+    const named: WorkerState[] = [];
     let expectedCapacity = 0;
-    let count = 0;
-    for (const worker of withCapacity) {
-      if (count >= minimum && expectedCapacity >= waitingCount) break;
+    for (const {worker, fits} of usable) {
+      if (named.length >= minimum && expectedCapacity >= waitingCount) break;
       // A worker that was approved stays approved. Any other worker is approved
       // with an assumed probability.
       const approvalProbability = step.advice.isApproved(worker)
         ? 1
         : APPROVED_SHARE;
-      expectedCapacity +=
-        this.choice.fitCount(step, worker) * approvalProbability;
-      count++;
+      expectedCapacity += fits * approvalProbability;
+      named.push(worker);
     }
-    return withCapacity.slice(0, count);
+    return {named, isEnough: expectedCapacity >= waitingCount};
   }
 
   private isQueryable(step: StepState, worker: WorkerState): boolean {
@@ -126,15 +154,25 @@
     return !step.advice.isRejected(worker);
   }
 
-  private hasUsableCapacity(
+  /** Number of waiting tasks that could be placed on the worker now. */
+  private usableFits(
     step: StepState,
+    waiting: TaskState[],
     worker: WorkerState,
+    count: number,
     now: number,
-  ): boolean {
-    if (!worker.isUsable) return false;
+  ): number {
+    // Capacity that is reserved for the step may still have to be freed.
     const isReserved =
       worker.reservedFor === step && worker.reservedUntil > now;
-    return isReserved || this.choice.hasCapacity(step, worker);
+    const fits = Math.max(
+      isReserved ? 1 : 0,
+      this.choice.fitCount(step, worker),
+    );
+    if (fits === 0 || !this.choice.isOpenTo(step, worker, now)) return 0;
+    // A task may not be placed beside an earlier run of its own.
+    if (waiting.every(task => worker.runs.has(task.name))) return 0;
+    return Math.min(fits, placesLeft(step, count), waiting.length);
   }
 
   private hasTicket(
@@ -152,14 +190,24 @@
  * different workers. Where it is expensive, the workers with the most free
  * processors come first, so that few need to be named.
  */
-function inQueryOrder(step: StepState, workers: WorkerState[]): WorkerState[] {
+function inQueryOrder(
+  step: StepState,
+  workers: UsableWorker[],
+): UsableWorker[] {
   if (minimumNamedWorkers(step) === MINIMUM_NAMED_WORKERS) {
-    return workers.sort((a, b) => b.freeMilliCores - a.freeMilliCores);
+    return workers.sort(
+      (a, b) => b.worker.freeMilliCores - a.worker.freeMilliCores,
+    );
   }
   const start = hash(step.name) % Math.max(1, workers.length);
   return [...workers.slice(start), ...workers.slice(0, start)];
 }
 
+/** Number of further tasks that the step's limit per worker allows. */
+function placesLeft(step: StepState, count: number): number {
+  return (step.specification.maximumPerWorker || Infinity) - count;
+}
+
 /** FNV-1a, 32 bits. */
 function hash(text: string): number {
   let value = 2_166_136_261;
--- a/packages/cell-scheduler/src/cell_fixture.ts
+++ b/packages/cell-scheduler/src/cell_fixture.ts
@@ -5,6 +5,8 @@
 import {Scheduler} from './scheduler.js';
 import type {SchedulingPass} from './scheduling_pass.js';
 import {ShardState} from './shard_state.js';
+import type {StepState} from './step_state.js';
+import type {TaskState} from './task_state.js';
 import {WorkerChoice} from './worker_choice.js';
 import {WorkerState} from './worker_state.js';
 
@@ -58,6 +60,11 @@
     run.phase = 'gone';
   }
 
+  /** Runs a task on a worker as if it had been placed there at time 0. */
+  run(step: StepState, task: TaskState, worker: WorkerState): void {
+    this.place({step, task, worker, ticket: ''}, 0);
+  }
+
   private place(placement: Placement, now: number): void {
     const {step, task, worker, ticket} = placement;
     const {specification} = step;
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -122,10 +122,9 @@
       ),
     );
     if (!needsAdvice) return;
-    const stillWaiting = waiting.length - placed.length;
     const query = this.advice.queryFor(
       step,
-      stillWaiting,
+      waiting.filter(task => isWaiting(task, now)),
       this.serviceWorkers(step),
       now,
     );
@@ -148,7 +147,7 @@
         if (!this.advice.shouldQueryAhead(step, now)) return;
         const query = this.advice.queryFor(
           step,
-          step.tasks.length,
+          step.tasks,
           this.serviceWorkers(step),
           now,
         );
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -67,4 +67,13 @@
     }
     return count;
   }
+
+  /** Number of tasks placed on each worker, by worker ID. */
+  countByWorker(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const {run} of this.tasks) {
+      if (run) counts.set(run.workerId, (counts.get(run.workerId) ?? 0) + 1);
+    }
+    return counts;
+  }
 }
--- a/packages/cell-scheduler/src/worker_choice.ts
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -36,6 +36,16 @@
 
   /** True when the worker may take tasks of the step, capacity aside. */
   isEligible(step: StepState, worker: WorkerState, now: number): boolean {
+    if (!this.isOpenTo(step, worker, now)) return false;
+    const {maximumPerWorker} = step.specification;
+    return maximumPerWorker === 0 || step.countOn(worker.id) < maximumPerWorker;
+  }
+
+  /**
+   * True when the worker takes tasks of the step, its capacity and the step's
+   * limit per worker aside.
+   */
+  isOpenTo(step: StepState, worker: WorkerState, now: number): boolean {
     if (!worker.isUsable || !worker.isListed) return false;
     if (worker.avoidUntil > now) return false;
     if (worker.description.state !== 'ready') return false;
@@ -43,9 +53,7 @@
       return false;
     }
     if (isReservedForOther(step, worker, now)) return false;
-    if (!this.hasLabel(step, worker)) return false;
-    const {maximumPerWorker} = step.specification;
-    return maximumPerWorker === 0 || step.countOn(worker.id) < maximumPerWorker;
+    return this.hasLabel(step, worker);
   }
 
   hasLabel(step: StepState, worker: WorkerState): boolean {
