Name other workers than the queries for advice under way

The first of them filled these, and the others queried again, half a second each time, with room elsewhere.

Cause: where naming a worker is expensive, a query names the workers with the most free processors first. Until an answer has come and tasks are placed, all queries see the same free processors.

Now the planner keeps the capacity that the queries under way are expected to take: for each worker the tasks that fit, weighted with the assumed share of approvals and limited to the waiting tasks. It is subtracted when a query orders the workers; it excludes none and does not make queries longer. The claims end with the answer, or with the pass if the query was not sent. A single step names the same workers as before.

Tests: `advice_planner.test.ts`, 378 workers of 16, 32 and 64 processors, eight steps of 16 tasks in one pass, 35 % of the named workers approved at random, ten workers named by each query before and after.

These five tests and the one with a query in flight failed before; two more, that a single step and a step after an ended query still name the largest workers, guard what did not change.

--- a/packages/cell-scheduler/src/advice_planner.test.ts
+++ b/packages/cell-scheduler/src/advice_planner.test.ts
@@ -57,6 +57,84 @@
     expect(query?.workerIds.every(id => id.startsWith('w'))).toBe(true);
   });
 
+  describe('with a slow service', () => {
+    const WIDE_STEP = {
+      taskCount: 16,
+      milliCores: 9_000,
+      memoryMegabytes: 34_000,
+    };
+
+    /** Workers of 32 processors, one half and two times as many. */
+    function createLargeCell(): CellFixture {
+      const cell = CellFixture.create();
+      for (let index = 0; index < 378; index++) {
+        const size = [1, 1, 0.5, 2][index % 4]!;
+        cell.addWorker(`w${index}`, {
+          milliCores: 32_000 * size,
+          memoryMegabytes: 131_072 * size,
+        });
+      }
+      return cell;
+    }
+
+    function addStep(cell: CellFixture, id: string): StepState {
+      const submission = createSubmission(id, WIDE_STEP, {advice: ADVICE});
+      cell.state.add(submission);
+      return submission.stepsOf(0)[0]!;
+    }
+
+    // Load: a burst of wide steps on a large cell. Guards against steps that
+    // all get tickets for the same few workers and then wait for another round
+    // of queries, although other workers have capacity (SHORT of route-plan).
+    it.each([1, 2, 3, 4, 5])(
+      'spreads simultaneous queries over the workers (seed %i)',
+      seed => {
+        const cell = createLargeCell();
+        for (const id of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']) {
+          addStep(cell, id);
+        }
+        const random = randomFractions(seed);
+        for (const {step, workerIds} of cell.pass(0).adviceQueries) {
+          expect(workerIds).toHaveLength(10);
+          approve(step, workerIds, () => random() < 0.35);
+        }
+        // The cell holds over a thousand of these tasks.
+        expect(cell.pass(500).placements.length).toBeGreaterThanOrEqual(115);
+      },
+    );
+
+    it('names the largest workers for a single step', () => {
+      const cell = createLargeCell();
+      addStep(cell, 'a');
+      const [query] = cell.pass(0).adviceQueries;
+      expect(capacities(cell, query?.workerIds)).toEqual(
+        Array.from({length: 10}, () => 64_000),
+      );
+    });
+
+    it('names other workers than the queries in flight', () => {
+      const cell = createLargeCell();
+      const first = addStep(cell, 'a');
+      const named = new Set(cell.pass(0).adviceQueries[0]?.workerIds);
+      first.advice.isQueryInFlight = true;
+      addStep(cell, 'b');
+      const [query] = cell.pass(100).adviceQueries;
+      expect(query?.workerIds).toHaveLength(10);
+      expect(query?.workerIds.filter(id => named.has(id))).toEqual([]);
+    });
+
+    // Guards against capacity that stays claimed although nothing will take it.
+    it('names the largest workers again once a query has ended', () => {
+      const cell = createLargeCell();
+      const first = addStep(cell, 'a');
+      const [earlier] = cell.pass(0).adviceQueries;
+      first.advice.notBefore = 9_000;
+      addStep(cell, 'b');
+      const [query] = cell.pass(100).adviceQueries;
+      expect(query?.workerIds).toEqual(earlier?.workerIds);
+    });
+  });
+
   // Guards against tasks that wait for good although an approved worker has
   // room: queries named only workers that the step could not use now, because
   // these had the most free processors (rule LOST).
@@ -181,3 +259,30 @@
     expect(cell.pass(3_100).adviceQueries).toEqual([]);
   });
 });
+
+/** Answers a query; each worker named is approved or not. */
+function approve(
+  step: StepState,
+  workerIds: string[],
+  isApproved: () => boolean,
+): void {
+  for (const id of workerIds) {
+    step.advice.queriedWorkers.add(`${id}@1`);
+    if (!isApproved()) continue;
+    const ticket = {ticket: 't', workerBornAt: 1, validUntil: 9_000};
+    step.advice.tickets.set(id, ticket);
+  }
+}
+
+/** Linear congruential generator of fractions below 1. */
+function randomFractions(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+function capacities(cell: CellFixture, ids: string[] = []) {
+  return ids.map(id => cell.state.workers.get(id)?.description.milliCores);
+}
--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -1,3 +1,4 @@
+import {AdviceClaims} from './advice_claims.js';
 import type {AdviceQuery} from './advice_query.js';
 import {isTicketValid} from './is_ticket_valid.js';
 import type {Run} from './run.js';
@@ -49,12 +50,19 @@
 
 /** Decides which queries to the advice service are worth sending. */
 export class AdvicePlanner {
+  private readonly claims = AdviceClaims.create();
+
   private constructor(private readonly choice: WorkerChoice) {}
 
   static create(choice: WorkerChoice): AdvicePlanner {
     return new AdvicePlanner(choice);
   }
 
+  /** To be called before the queries of a pass are planned. */
+  beginPass(): void {
+    this.claims.dropEnded();
+  }
+
   /**
    * Returns the query for a step with waiting tasks, or undefined when none is
    * worth sending. The service takes longer for each worker named, so the query
@@ -89,11 +97,12 @@
       ({worker}) => !this.hasTicket(step, worker, now),
     );
     if (!isFirstQuery && !isUseful) return undefined;
-    const {named, isEnough} = this.selectEnough(
+    const {selected, isEnough} = this.selectEnough(
       step,
       waiting.length,
-      inQueryOrder(step, usable),
+      this.inQueryOrder(step, usable),
     );
+    const named = selected.map(({worker}) => worker);
     if (named.length === usable.length) {
       const alreadyNamed = new Set(named);
       const others = candidates.filter(worker => !alreadyNamed.has(worker));
@@ -108,6 +117,7 @@
       );
     }
     if (named.length === 0) return undefined;
+    this.claims.add(step, this.claimsOf(step, waiting.length, selected));
     return {
       step,
       workerIds: named.slice(0, MAXIMUM_NAMED_WORKERS).map(({id}) => id),
@@ -125,25 +135,66 @@
     return Math.max(...remaining) <= advice.validMilliseconds * AHEAD_SHARE;
   }
 
+  /**
+   * Where naming a worker is cheap, steps that query at the same time name
+   * different workers. Where it is expensive, the workers with the most free
+   * processors come first, so that few need to be named. What the queries under
+   * way are expected to take does not count as free.
+   */
+  private inQueryOrder(
+    step: StepState,
+    usable: UsableWorker[],
+  ): UsableWorker[] {
+    if (minimumNamedWorkers(step) > MINIMUM_NAMED_WORKERS) {
+      const start = hash(step.name) % Math.max(1, usable.length);
+      return [...usable.slice(start), ...usable.slice(0, start)];
+    }
+    return usable
+      .map(candidate => ({candidate, left: this.unclaimed(candidate.worker)}))
+      .sort((a, b) => b.left - a.left)
+      .map(({candidate}) => candidate);
+  }
+
+  private unclaimed(worker: WorkerState): number {
+    return worker.freeMilliCores - this.claims.milliCoresOn(worker.id);
+  }
+
+  /** The millicores that a query's step is expected to take on each worker. */
+  private claimsOf(
+    step: StepState,
+    waitingCount: number,
+    selected: UsableWorker[],
+  ): Map<string, number> {
+    const {milliCores, usesSpareCapacity} = step.specification;
+    if (usesSpareCapacity) return new Map();
+    let expected = 0;
+    for (const {worker, fits} of selected) {
+      expected += fits * approvalProbability(step, worker);
+    }
+    const share = Math.min(1, waitingCount / Math.max(1, expected));
+    return new Map(
+      selected.map(({worker, fits}) => [
+        worker.id,
+        fits * approvalProbability(step, worker) * share * milliCores,
+      ]),
+    );
+  }
+
   private selectEnough(
     step: StepState,
     waitingCount: number,
     usable: UsableWorker[],
-  ): {named: WorkerState[]; isEnough: boolean} {
+  ): {selected: UsableWorker[]; isEnough: boolean} {
     const minimum = minimumNamedWorkers(step);
-    const named: WorkerState[] = [];
+    const selected: UsableWorker[] = [];
     let expectedCapacity = 0;
-    for (const {worker, fits} of usable) {
-      if (named.length >= minimum && expectedCapacity >= waitingCount) break;
-      // A worker that was approved stays approved. Any other worker is approved
-      // with an assumed probability.
-      const approvalProbability = step.advice.isApproved(worker)
-        ? 1
-        : APPROVED_SHARE;
-      expectedCapacity += fits * approvalProbability;
-      named.push(worker);
+    for (const candidate of usable) {
+      if (selected.length >= minimum && expectedCapacity >= waitingCount) break;
+      const {worker, fits} = candidate;
+      expectedCapacity += fits * approvalProbability(step, worker);
+      selected.push(candidate);
     }
-    return {named, isEnough: expectedCapacity >= waitingCount};
+    return {selected, isEnough: expectedCapacity >= waitingCount};
   }
 
   private isQueryable(step: StepState, worker: WorkerState): boolean {
@@ -186,21 +237,11 @@
 }
 
 /**
- * Where naming a worker is cheap, steps that query at the same time name
- * different workers. Where it is expensive, the workers with the most free
- * processors come first, so that few need to be named.
+ * A worker that was approved stays approved. Any other worker is approved with
+ * an assumed probability.
  */
-function inQueryOrder(
-  step: StepState,
-  workers: UsableWorker[],
-): UsableWorker[] {
-  if (minimumNamedWorkers(step) === MINIMUM_NAMED_WORKERS) {
-    return workers.sort(
-      (a, b) => b.worker.freeMilliCores - a.worker.freeMilliCores,
-    );
-  }
-  const start = hash(step.name) % Math.max(1, workers.length);
-  return [...workers.slice(start), ...workers.slice(0, start)];
+function approvalProbability(step: StepState, worker: WorkerState): number {
+  return step.advice.isApproved(worker) ? 1 : APPROVED_SHARE;
 }
 
 /** Number of further tasks that the step's limit per worker allows. */
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -53,6 +53,7 @@
   ): SchedulingPass {
     this.unplaceable = UnplaceableShapes.create();
     this.workersByService = groupByService(this.state.workers.values());
+    this.advice.beginPass();
     const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(
       step =>
         step.setAsideUntil <= now &&
