--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -1,3 +1,4 @@
+import {AdviceClaims} from './advice_claims.js';
 import type {AdviceQuery} from './advice_query.js';
 import {isTicketValid} from './is_ticket_valid.js';
 import type {Run} from './run.js';
@@ -10,7 +11,7 @@
 const MAXIMUM_NAMED_WORKERS = 100;
 
 /**
- * A query names at least this many workers, if as many have capacity. Fewer
+ * A query names at least this many workers, if as many are usable. Fewer
  * would not justify a query of their own.
  */
 const MINIMUM_NAMED_WORKERS = 10;
@@ -23,10 +24,10 @@
 const NAMING_BUDGET_MILLISECONDS = 15;
 
 /**
- * Maximum number of workers without capacity that are named in addition, when
- * a query already names all workers with capacity.
+ * Maximum number of workers that the step cannot use now that are named in
+ * addition, when a query already names all usable ones.
  */
-const NAMED_WORKERS_WITHOUT_CAPACITY = 20;
+const NAMED_WORKERS_NOT_USABLE = 20;
 
 /** Share of the named workers that is assumed to be approved. */
 const APPROVED_SHARE = 0.3;
@@ -40,14 +41,28 @@
  */
 const AHEAD_SHARE = 0.5;
 
+/** A worker on which waiting tasks of a step could be placed now. */
+interface UsableWorker {
+  worker: WorkerState;
+  /** Number of the waiting tasks that fit. */
+  fits: number;
+}
+
 /** Decides which queries to the advice service are worth sending. */
 export class AdvicePlanner {
+  private readonly claims = AdviceClaims.create();
+
   private constructor(private readonly choice: WorkerChoice) {}
 
   static create(choice: WorkerChoice): AdvicePlanner {
     return new AdvicePlanner(choice);
   }
 
+  /** To be called before the queries of a pass are planned. */
+  beginPass(): void {
+    this.claims.dropEnded();
+  }
+
   /**
    * Returns the query for a step with waiting tasks, or undefined when none is
    * worth sending. The service takes longer for each worker named, so the query
@@ -55,30 +70,54 @@
    */
   queryFor(
     step: StepState,
-    waitingCount: number,
+    waiting: TaskState[],
     workers: WorkerState[],
     now: number,
   ): AdviceQuery | undefined {
     const {advice} = step;
     if (advice.isQueryInFlight || advice.notBefore > now) return undefined;
     advice.notBefore = now + RECHECK_MILLISECONDS;
-    const candidates = workers.filter(worker => this.isQueryable(step, worker));
-    if (candidates.length === 0) return undefined;
-    const withCapacity = inQueryOrder(
-      step,
-      candidates.filter(worker => this.hasUsableCapacity(step, worker, now)),
+    const counts = step.countByWorker();
+    const candidates = workers.filter(
+      worker =>
+        this.isQueryable(step, worker) &&
+        placesLeft(step, counts.get(worker.id) ?? 0) > 0,
     );
+    // A worker counts as usable only if the step could be placed there now.
+    // Otherwise workers that the step cannot use would take the place of
+    // approved ones with capacity in every query.
+    const usable: UsableWorker[] = [];
+    for (const worker of candidates) {
+      const count = counts.get(worker.id) ?? 0;
+      const fits = this.usableFits(step, waiting, worker, count, now);
+      if (fits > 0) usable.push({worker, fits});
+    }
     const isFirstQuery = advice.queriedWorkers.size === 0;
-    const isUseful = withCapacity.some(
-      worker => !this.hasTicket(step, worker, now),
+    const isUseful = usable.some(
+      ({worker}) => !this.hasTicket(step, worker, now),
     );
     if (!isFirstQuery && !isUseful) return undefined;
-    const named = this.selectEnough(step, waitingCount, withCapacity);
-    if (named.length === withCapacity.length) {
+    const {selected, isEnough} = this.selectEnough(
+      step,
+      waiting.length,
+      this.inQueryOrder(step, usable),
+    );
+    const named = selected.map(({worker}) => worker);
+    if (named.length === usable.length) {
       const alreadyNamed = new Set(named);
       const others = candidates.filter(worker => !alreadyNamed.has(worker));
-      named.push(...others.slice(0, NAMED_WORKERS_WITHOUT_CAPACITY));
+      const missing = Math.max(0, minimumNamedWorkers(step) - named.length);
+      named.push(
+        ...others.slice(
+          0,
+          isEnough
+            ? Math.min(missing, NAMED_WORKERS_NOT_USABLE)
+            : NAMED_WORKERS_NOT_USABLE,
+        ),
+      );
     }
+    if (named.length === 0) return undefined;
+    this.claims.add(step, this.claimsOf(step, waiting.length, selected));
     return {
       step,
       workerIds: named.slice(0, MAXIMUM_NAMED_WORKERS).map(({id}) => id),
@@ -96,26 +135,66 @@
     return Math.max(...remaining) <= advice.validMilliseconds * AHEAD_SHARE;
   }
 
+  /**
+   * Where naming a worker is cheap, steps that query at the same time name
+   * different workers. Where it is expensive, the workers with the most free
+   * processors come first, so that few need to be named. What the queries under
+   * way are expected to take does not count as free.
+   */
+  private inQueryOrder(
+    step: StepState,
+    usable: UsableWorker[],
+  ): UsableWorker[] {
+    if (minimumNamedWorkers(step) > MINIMUM_NAMED_WORKERS) {
+      const start = hash(step.name) % Math.max(1, usable.length);
+      return [...usable.slice(start), ...usable.slice(0, start)];
+    }
+    return usable
+      .map(candidate => ({candidate, left: this.unclaimed(candidate.worker)}))
+      .sort((a, b) => b.left - a.left)
+      .map(({candidate}) => candidate);
+  }
+
+  private unclaimed(worker: WorkerState): number {
+    return worker.freeMilliCores - this.claims.milliCoresOn(worker.id);
+  }
+
+  /** The millicores that a query's step is expected to take on each worker. */
+  private claimsOf(
+    step: StepState,
+    waitingCount: number,
+    selected: UsableWorker[],
+  ): Map<string, number> {
+    const {milliCores, usesSpareCapacity} = step.specification;
+    if (usesSpareCapacity) return new Map();
+    let expected = 0;
+    for (const {worker, fits} of selected) {
+      expected += fits * approvalProbability(step, worker);
+    }
+    const share = Math.min(1, waitingCount / Math.max(1, expected));
+    return new Map(
+      selected.map(({worker, fits}) => [
+        worker.id,
+        fits * approvalProbability(step, worker) * share * milliCores,
+      ]),
+    );
+  }
+
   private selectEnough(
     step: StepState,
     waitingCount: number,
-    withCapacity: WorkerState[],
-  ): WorkerState[] {
+    usable: UsableWorker[],
+  ): {selected: UsableWorker[]; isEnough: boolean} {
     const minimum = minimumNamedWorkers(step);
+    const selected: UsableWorker[] = [];
     let expectedCapacity = 0;
-    let count = 0;
-    for (const worker of withCapacity) {
-      if (count >= minimum && expectedCapacity >= waitingCount) break;
-      // A worker that was approved stays approved. Any other worker is approved
-      // with an assumed probability.
-      const approvalProbability = step.advice.tickets.has(worker.id)
-        ? 1
-        : APPROVED_SHARE;
-      expectedCapacity +=
-        this.choice.fitCount(step, worker) * approvalProbability;
-      count++;
+    for (const candidate of usable) {
+      if (selected.length >= minimum && expectedCapacity >= waitingCount) break;
+      const {worker, fits} = candidate;
+      expectedCapacity += fits * approvalProbability(step, worker);
+      selected.push(candidate);
     }
-    return withCapacity.slice(0, count);
+    return {selected, isEnough: expectedCapacity >= waitingCount};
   }
 
   private isQueryable(step: StepState, worker: WorkerState): boolean {
@@ -123,21 +202,28 @@
     if (!this.choice.hasLabel(step, worker)) return false;
     // The service's answer for a worker does not change while the worker's
     // incarnation lasts.
-    return (
-      !step.advice.queriedWorkers.has(incarnationKey(worker)) ||
-      step.advice.tickets.has(worker.id)
-    );
+    return !step.advice.isRejected(worker);
   }
 
-  private hasUsableCapacity(
+  /** Number of waiting tasks that could be placed on the worker now. */
+  private usableFits(
     step: StepState,
+    waiting: TaskState[],
     worker: WorkerState,
+    count: number,
     now: number,
-  ): boolean {
-    if (!worker.isUsable) return false;
+  ): number {
+    // Capacity that is reserved for the step may still have to be freed.
     const isReserved =
       worker.reservedFor === step && worker.reservedUntil > now;
-    return isReserved || this.choice.hasCapacity(step, worker);
+    const fits = Math.max(
+      isReserved ? 1 : 0,
+      this.choice.fitCount(step, worker),
+    );
+    if (fits === 0 || !this.choice.isOpenTo(step, worker, now)) return 0;
+    // A task may not be placed beside an earlier run of its own.
+    if (waiting.every(task => worker.runs.has(task.name))) return 0;
+    return Math.min(fits, placesLeft(step, count), waiting.length);
   }
 
   private hasTicket(
@@ -151,16 +237,16 @@
 }
 
 /**
- * Where naming a worker is cheap, steps that query at the same time name
- * different workers. Where it is expensive, the workers with the most free
- * processors come first, so that few need to be named.
+ * A worker that was approved stays approved. Any other worker is approved with
+ * an assumed probability.
  */
-function inQueryOrder(step: StepState, workers: WorkerState[]): WorkerState[] {
-  if (minimumNamedWorkers(step) === MINIMUM_NAMED_WORKERS) {
-    return workers.sort((a, b) => b.freeMilliCores - a.freeMilliCores);
-  }
-  const start = hash(step.name) % Math.max(1, workers.length);
-  return [...workers.slice(start), ...workers.slice(0, start)];
+function approvalProbability(step: StepState, worker: WorkerState): number {
+  return step.advice.isApproved(worker) ? 1 : APPROVED_SHARE;
+}
+
+/** Number of further tasks that the step's limit per worker allows. */
+function placesLeft(step: StepState, count: number): number {
+  return (step.specification.maximumPerWorker || Infinity) - count;
 }
 
 /** FNV-1a, 32 bits. */
@@ -213,7 +299,3 @@
   const total = (elapsedAtProgress * 100) / run.progressPercent;
   return total - (now - (run.runningSince ?? now));
 }
-
-function incarnationKey(worker: WorkerState): string {
-  return `${worker.id}@${worker.description.bornAtUnixMilliseconds}`;
-}
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -53,6 +53,7 @@
   ): SchedulingPass {
     this.unplaceable = UnplaceableShapes.create();
     this.workersByService = groupByService(this.state.workers.values());
+    this.advice.beginPass();
     const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(
       step =>
         step.setAsideUntil <= now &&
@@ -122,10 +123,9 @@
       ),
     );
     if (!needsAdvice) return;
-    const stillWaiting = waiting.length - placed.length;
     const query = this.advice.queryFor(
       step,
-      stillWaiting,
+      waiting.filter(task => isWaiting(task, now)),
       this.serviceWorkers(step),
       now,
     );
@@ -148,7 +148,7 @@
         if (!this.advice.shouldQueryAhead(step, now)) return;
         const query = this.advice.queryFor(
           step,
-          step.tasks.length,
+          step.tasks,
           this.serviceWorkers(step),
           now,
         );
@@ -249,7 +249,7 @@
     const workers: WorkerState[] = [];
     for (const id of step.advice.tickets.keys()) {
       const worker = this.state.workers.get(id);
-      if (worker) workers.push(worker);
+      if (worker && step.advice.isApproved(worker)) workers.push(worker);
     }
     return workers;
   }
