End a call of another host when it answers something else

A call of another host never ended, its time limit notwithstanding, when the response named another request or none: `{}`, `[]`, or the answer of a server that could not read the request. An owner that asked for advice through such a host waited for good.

Cause: the JSON-RPC library ignores responses that match no request, and the time limit covers the HTTP call only, which had ended.

Now the request is rejected once the response was processed without matching it. The caller gets an `UncertainError`, as for any malformed answer.

Test: `peer_client.test.ts`; four of its six answers timed out before.

--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -67,6 +67,9 @@
           throw failure;
         }
         client.receive(answer.unsafeCoerce());
+        // The library ignores a response to another request. Nothing further
+        // arrives on this call.
+        client.rejectAllPendingRequests('the host answered another request');
       },
       () => this.nextId++,
     );
