Send no call to a relay after its time limit

A start that waited for its owner's channel to a relay to open, or for the frame that carries it, was sent after a suspension of the owner and forwarded as a new order.

Cause: the channel's time limit is a timer of the process, and nothing compared it with the clocks when the message was written. The deadline of a call now goes with its message, and a message that is overdue when its frame is written is left out. The caller gets an uncertain outcome, as for any call without an answer.

The new test in worker_relay.test.ts failed before (the late start was answered with 'started') and passes now.

--- a/packages/cell-host/src/worker_relay.test.ts
+++ b/packages/cell-host/src/worker_relay.test.ts
@@ -166,7 +166,7 @@
 
   function openLinks(
     hosts: HostRecord[],
-    options: {epoch?: number; ownerMilliCores?: number} = {},
+    options: {epoch?: number; ownerMilliCores?: number; clock?: Clock} = {},
   ) {
     const direct = new RecordingLink();
     const links = RelayedWorkerLinks.create({
@@ -175,7 +175,7 @@
       ownerName: 'owner',
       ownerMilliCores: options.ownerMilliCores ?? 1,
       epoch: options.epoch ?? 1,
-      clock: SystemClock.create(),
+      clock: options.clock ?? SystemClock.create(),
       logger: SilentLogger.create(),
       metrics: MemoryMetrics.create(),
     });
@@ -280,6 +280,21 @@
     expect(host.link.polls.map(poll => poll.acknowledgedEnd)).toEqual([7]);
   });
 
+  // Guards against orders that leave long after they were decided: a start that
+  // waits for the channel to open could reach a worker that has restarted since.
+  it('sends no call that waited over a pause of the owner', async () => {
+    const host = await openHost('relay');
+    const clock = new SteppedClock();
+    const {links} = openLinks([host.record], {clock});
+    const link = links.open(WORKER);
+    const late = link.start(START);
+    clock.wallOffset = 5_000;
+    expect((await late).kind).toBe('uncertain');
+    const next = {...START, attempt: 2};
+    expect((await link.start(next)).kind).toBe('started');
+    expect(host.link.starts).toEqual([next]);
+  });
+
   // Guards against a malformed message that crashes the process or breaks other
   // channels.
   it('continues to serve after malformed messages of every kind', async () => {
--- a/packages/worker-relay/src/frame_stream.ts
+++ b/packages/worker-relay/src/frame_stream.ts
@@ -1,5 +1,6 @@
 import type {Duplex} from 'node:stream';
 import {StringDecoder} from 'node:string_decoder';
+import type {CallDeadline} from '@cardamomfield/clock';
 import {
   InternalError,
   InvalidInputError,
@@ -22,6 +23,11 @@
   onClosed: (cause: TypedError | undefined) => void;
 }
 
+interface QueuedMessage {
+  text: string;
+  deadline: CallDeadline | undefined;
+}
+
 /**
  * Messages over a byte stream: each line is a frame, a JSON array of messages.
  * Small messages are batched into a frame, since a write and a wake-up cost
@@ -30,7 +36,7 @@
 export class FrameStream {
   private readonly decoder = new StringDecoder('utf8');
   private partialLine = '';
-  private queuedMessages: string[] = [];
+  private queuedMessages: QueuedMessage[] = [];
   private isFlushScheduled = false;
   private isClosed = false;
 
@@ -51,9 +57,10 @@
     return new FrameStream(options);
   }
 
-  send(message: unknown): void {
+  /** Sends a message, unless its deadline has passed by the time it leaves. */
+  send(message: unknown, deadline?: CallDeadline): void {
     if (this.isClosed) return;
-    this.queuedMessages.push(JSON.stringify(message));
+    this.queuedMessages.push({text: JSON.stringify(message), deadline});
     if (this.isFlushScheduled) return;
     this.isFlushScheduled = true;
     const {batchMilliseconds} = this.options;
@@ -68,9 +75,12 @@
   private flush(): void {
     this.isFlushScheduled = false;
     if (this.isClosed) return;
-    const frame = `[${this.queuedMessages.join(',')}]\n`;
+    const texts = this.queuedMessages
+      .filter(({deadline}) => !deadline?.hasPassed)
+      .map(({text}) => text);
     this.queuedMessages = [];
-    this.options.socket.write(frame);
+    if (texts.length === 0) return;
+    this.options.socket.write(`[${texts.join(',')}]\n`);
     if (this.options.socket.writableLength > MAXIMUM_BUFFERED_BYTES) {
       this.terminate(
         UnavailableError.create(
--- a/packages/worker-relay/src/relay_channel.ts
+++ b/packages/worker-relay/src/relay_channel.ts
@@ -1,7 +1,7 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {HostRecord, WorkerDescription} from '@cardamomfield/cell-model';
-import type {Clock} from '@cardamomfield/clock';
+import {CallDeadline, type Clock} from '@cardamomfield/clock';
 import {
   type TypedError,
   UnavailableError,
@@ -43,7 +43,7 @@
 /** One owner's channel to one relay host. */
 export class RelayChannel {
   static readonly protocol = PROTOCOL;
-  private readonly client: JSONRPCClient<void>;
+  private readonly client: JSONRPCClient<CallDeadline | undefined>;
   private readonly opened: Promise<Either<TypedError, FrameStream>>;
   private readonly http: Client;
   private stream: FrameStream | undefined;
@@ -55,8 +55,8 @@
 
   private constructor(private readonly options: RelayChannelOptions) {
     this.lastMessageAt = options.clock.monotonicNow();
-    this.client = new JSONRPCClient<void>(
-      message => this.stream?.send(message),
+    this.client = new JSONRPCClient<CallDeadline | undefined>(
+      (message, deadline) => this.stream?.send(message, deadline),
       () => this.nextId++,
     );
     this.http = new Client(`http://${options.host.address}`, {
@@ -81,7 +81,8 @@
   /**
    * Calls a worker through the relay; a payload is sent once for all calls that
    * share it. `UnavailableError` means that nothing was sent, `UncertainError`
-   * that the call may have been carried out or may still be.
+   * that the call may have been carried out or may still be. A call that has
+   * not left within its time limit is never sent.
    */
   async call<Result extends z.ZodType>(
     worker: WorkerDescription,
@@ -91,6 +92,10 @@
     timeoutMilliseconds: number,
     payload?: string,
   ): Promise<Either<TypedError, z.infer<Result>>> {
+    const deadline = CallDeadline.create(
+      this.options.clock,
+      timeoutMilliseconds,
+    );
     if (!this.stream) {
       const opened = await this.opened;
       if (opened.isLeft()) return Left(opened.extract() as TypedError);
@@ -102,13 +107,17 @@
     try {
       const answer: unknown = await this.client
         .timeout(timeoutMilliseconds)
-        .request(method, {
-          handle: this.handleOf(worker),
-          ...(payload === undefined
-            ? {}
-            : {payloadKey: this.payloadKeyOf(payload)}),
-          ...parameters,
-        });
+        .request(
+          method,
+          {
+            handle: this.handleOf(worker),
+            ...(payload === undefined
+              ? {}
+              : {payloadKey: this.payloadKeyOf(payload)}),
+            ...parameters,
+          },
+          deadline,
+        );
       const parsed = result.safeParse(answer);
       if (parsed.success) return Right(parsed.data);
       return Left(
@@ -181,7 +190,7 @@
     if (known !== undefined) return known;
     const handle = this.nextId++;
     this.handles.set(worker, handle);
-    this.client.notify(RelayMethod.openWorker, {handle, worker});
+    this.client.notify(RelayMethod.openWorker, {handle, worker}, undefined);
     return handle;
   }
 
@@ -191,11 +200,15 @@
     if (known !== undefined) return known;
     if (this.payloadKeys.size >= MAXIMUM_CACHED_PAYLOADS) {
       this.payloadKeys.clear();
-      this.client.notify(RelayMethod.clearPayloads, {});
+      this.client.notify(RelayMethod.clearPayloads, {}, undefined);
     }
     const payloadKey = this.nextId++;
     this.payloadKeys.set(payload, payloadKey);
-    this.client.notify(RelayMethod.cachePayload, {payloadKey, payload});
+    this.client.notify(
+      RelayMethod.cachePayload,
+      {payloadKey, payload},
+      undefined,
+    );
     return payloadKey;
   }
 
