End runs of a replaced worker also on its earlier incarnations

Cause: once another worker answers at the address, only the runs of the listed incarnation were ended. If the worker had restarted before and the owner had not polled it since, its entry is newer than its runs, and they waited for the longest lease after a takeover. An incarnation that the directory has replaced by a newer one has ended as well; only runs on an incarnation newer than the entry still wait.

--- a/packages/cell-stand-ins/src/replaced_worker.test.ts
+++ b/packages/cell-stand-ins/src/replaced_worker.test.ts
@@ -1,5 +1,6 @@
 import {expect, it} from 'vitest';
 import {CellHarness} from './cell_harness.js';
+import type {MemoryCellWorker} from './memory_cell_worker.js';
 import {createSubmission} from './plain_submission.js';
 import type {SimulatedOwnerHost} from './simulated_owner_host.js';
 
@@ -26,6 +27,7 @@
     cell: {harness: CellHarness; first: SimulatedOwnerHost},
     sinceCrash: number,
   ) => void,
+  beforeCrash: (worker: MemoryCellWorker) => void = () => {},
 ): Promise<{gap: number; violations: string[]}> {
   const harness = CellHarness.create({
     seed,
@@ -50,7 +52,9 @@
     if (sinceCrash === 0) {
       lost = new Set(ledger.runningTasks());
       const replacedAt = virtualClock.monotonicNow() + replacedMilliseconds;
-      workers.get('crashing')?.replace(replacedAt);
+      const crashing = workers.get('crashing');
+      if (crashing) beforeCrash(crashing);
+      crashing?.replace(replacedAt);
       for (const name of ledger.runningTasks()) lost.delete(name);
     }
     disturb({harness, first}, sinceCrash);
@@ -85,6 +89,25 @@
   }
 });
 
+// Guards against lasting tasks that stay down after their worker restarted and
+// was replaced before the owner had polled it again: the directory's entry was
+// newer than the runs, and they waited for the longest lease.
+it('restarts tasks of a worker that restarted and was replaced', async () => {
+  for (const seed of SEEDS) {
+    const {gap, violations} = await measureGap(
+      seed,
+      REPLACED_MILLISECONDS,
+      ({harness, first}, sinceCrash) => {
+        if (sinceCrash === 1_000) first.kill();
+        if (sinceCrash === 1_500) void harness.addHost('second').claim(1);
+      },
+      worker => worker.restart(),
+    );
+    expect({seed, violations}).toEqual({seed, violations: []});
+    expect(gap).toBeLessThanOrEqual(MAXIMUM_GAP_MILLISECONDS);
+  }
+});
+
 // Guards against lasting tasks that stay down after their worker crashed during
 // an outage of the log, when leases are at their longest.
 it('restarts tasks of a worker replaced during an outage of the log', async () => {
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -288,15 +288,15 @@
   }
 
   /**
-   * Another worker answers at the address, so the listed incarnation has ended
-   * and its runs with it, whatever their leases say.
+   * Another worker answers at the address, so the listed incarnation and those
+   * before it have ended and their runs with them, whatever their leases say.
    */
   private endReplacedRuns(): void {
     const {bornAtUnixMilliseconds} = this.worker.description;
     for (const run of [...this.worker.runs.values()]) {
       if (run.phase === 'recording') continue;
       // The entry may be older than the incarnation that holds the run.
-      if (run.task.workerBornAt !== bornAtUnixMilliseconds) continue;
+      if (run.task.workerBornAt > bornAtUnixMilliseconds) continue;
       this.options.runs.markLost(run, 'worker replaced');
     }
   }
