Simulate how soon lasting tasks run again after random faults

Short times of random faults, in which workers restart or are replaced, now alternate with calm ones. A task must run again within 9 s of its last run once the cell has been calm for 7 s: the bound of the users' rule. There is room on any two workers, so capacity is no excuse.

An owner that ignores the answers of other workers is detected.

--- a/packages/cell-stand-ins/src/cell_harness.ts
+++ b/packages/cell-stand-ins/src/cell_harness.ts
@@ -28,20 +28,7 @@
 
   private constructor(private readonly options: CellHarnessOptions) {
     this.random = SeededRandomSource.create(options.seed);
-    for (const id of options.workerIds ?? ['worker']) {
-      this.workers.set(
-        id,
-        MemoryCellWorker.create(
-          id,
-          options.milliCores ?? 9_000,
-          this.virtualClock,
-          this.random,
-          this.ledger,
-          () => 1,
-          options.overrides?.longestLeaseMilliseconds,
-        ),
-      );
-    }
+    for (const id of options.workerIds ?? ['worker']) this.addWorker(id);
   }
 
   static create(options: CellHarnessOptions): CellHarness {
@@ -55,6 +42,20 @@
     return worker;
   }
 
+  addWorker(id: string): void {
+    const {milliCores, overrides} = this.options;
+    const worker = MemoryCellWorker.create(
+      id,
+      milliCores ?? 9_000,
+      this.virtualClock,
+      this.random,
+      this.ledger,
+      () => 1,
+      overrides?.longestLeaseMilliseconds,
+    );
+    this.workers.set(id, worker);
+  }
+
   addHost(name: string): SimulatedOwnerHost {
     const {virtualClock, store, workers, random} = this;
     const overrides = this.options.overrides ?? {};
--- a/packages/cell-stand-ins/src/index.ts
+++ b/packages/cell-stand-ins/src/index.ts
@@ -6,5 +6,6 @@
 export * from './memory_shard_store.js';
 export * from './ownership_simulation.js';
 export * from './pausable_clock.js';
+export * from './recovery_simulation.js';
 export * from './run_ledger.js';
 export * from './simulated_owner_host.js';
--- a/packages/cell-stand-ins/src/main.ts
+++ b/packages/cell-stand-ins/src/main.ts
@@ -1,23 +1,47 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {OwnershipSimulation} from './ownership_simulation.js';
+import {RecoverySimulation} from './recovery_simulation.js';
 
 const options = await yargs(hideBin(process.argv))
   .option('first', {type: 'number', default: 1, describe: 'first seed'})
   .option('seeds', {type: 'number', default: 500, describe: 'number of seeds'})
+  .option('recovery', {
+    type: 'boolean',
+    default: false,
+    describe: 'simulate how soon lasting tasks run again',
+  })
+  .option('losses', {
+    type: 'boolean',
+    default: false,
+    describe: 'with --recovery: workers may be lost without a replacement',
+  })
   .strict()
   .parse();
 
 let failed = 0;
-let completed = 0;
+let count = 0;
 for (let seed = options.first; seed < options.first + options.seeds; seed++) {
-  const result = await OwnershipSimulation.run(seed);
-  completed += result.completed;
-  if (result.violations.length === 0) continue;
+  const violations = await simulate(seed);
+  if (violations.length === 0) continue;
   failed++;
-  console.log(`seed ${seed}: ${result.violations.slice(0, 3).join('; ')}`);
+  console.log(`seed ${seed}: ${violations.slice(0, 3).join('; ')}`);
 }
+const counted = options.recovery ? 'runs interrupted' : 'submissions completed';
 console.log(
-  `${options.seeds} seeds, ${failed} violated a guarantee, ${completed} submissions completed`,
+  `${options.seeds} seeds, ${failed} violated a guarantee, ${count} ${counted}`,
 );
 process.exitCode = failed > 0 ? 1 : 0;
+
+async function simulate(seed: number): Promise<string[]> {
+  if (options.recovery) {
+    const {violations, interrupted} = await RecoverySimulation.run(seed, {
+      losesWorkers: options.losses,
+    });
+    count += interrupted;
+    return violations;
+  }
+  const {violations, completed} = await OwnershipSimulation.run(seed);
+  count += completed;
+  return violations;
+}
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -119,8 +119,12 @@
   private open(description: WorkerDescription): WorkerLink {
     const {workers, virtualClock, random, overrides} = this.options;
     const worker = workers.get(description.id);
-    const faults = this.faults.get(description.id);
-    if (!worker || !faults) throw new RangeError(description.id);
+    if (!worker) throw new RangeError(description.id);
+    const faults = this.faults.get(worker.id) ?? {
+      isPartitioned: false,
+      delayProbability: 0,
+    };
+    this.faults.set(worker.id, faults);
     const link = MemoryCellLink.create(
       worker,
       faults,
