Give a busy owner longer to answer a ping

Cause: an owner that polls all workers and catches up on waiting work answers pings late. Each change made the next owner as busy.

Why this works: an owner that answers within 900 ms is heard, and its connections stay. An owner that is silent is still found in about the time it took before: the first ping without an answer is now past the silence that a claim requires, where two were needed. Processes that have ended still refuse the connection and are replaced at once.

--- a/packages/cell-host/src/owner_election.test.ts
+++ b/packages/cell-host/src/owner_election.test.ts
@@ -8,6 +8,7 @@
 import {OwnerElection} from './owner_election.js';
 import {ownerFixture} from './owner_fixture.js';
 import type {PeerClient} from './peer_client.js';
+import {PeerMethod} from './peer_method.js';
 
 /** State of a weak host that gets no answers unless a test mocks them. */
 let clock: ManualClock;
@@ -99,6 +100,37 @@
   expect(membership.owner).toMatchObject({epoch: 1, hostName: 'weak'});
 });
 
+// Guards against replacing an owner that is only slow, for example while it
+// polls all workers after a takeover: the next owner is as slow, and each
+// change makes all hosts wait again.
+it('does not claim from an owner that answers late', async () => {
+  const owner = ownerFixture('strong-1', 3);
+  membership.updateOwner(owner, 'news');
+  const answers = {
+    [PeerMethod.ping]: {isOwner: true, epoch: 3, isLogDown: false},
+    [PeerMethod.ownerContact]: {epoch: 3, heardMillisecondsAgo: 1e9},
+  };
+  call.mockImplementation(
+    async (
+      address: string,
+      method: keyof typeof answers,
+      _parameters: unknown,
+      _result: unknown,
+      timeoutMilliseconds: number,
+    ) => {
+      const delay = address === owner.address ? 800 : 10;
+      const waited = Math.min(delay, timeoutMilliseconds);
+      await clock.sleepUntil(clock.monotonicNow() + waited);
+      if (waited < delay) return noAnswer;
+      return Right({...answers[method], desiredStateVersion: 0});
+    },
+  );
+  void election.run();
+  await clock.advance(10_000);
+  expect(append).not.toHaveBeenCalled();
+  election.stop();
+});
+
 // Guards against many hosts that read all records of the shard at the same time
 // because each of them lost a claim to the same new owner.
 it('reads the log for a newer owner only after a second lost claim', async () => {
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -34,8 +34,14 @@
  */
 const ISOLATION_MILLISECONDS = 2_000;
 
-/** Time limit for a ping. */
-const PING_TIMEOUT_MILLISECONDS = 400;
+/**
+ * Time limit for a ping of the owner. An owner that answers within it is slow
+ * and not gone: another host would be as slow under the same load.
+ */
+const OWNER_PING_TIMEOUT_MILLISECONDS = 900;
+
+/** Time limit for a question to a host that does not own the shard. */
+const PEER_TIMEOUT_MILLISECONDS = 400;
 
 /** An owner that has not answered for this long may be replaced. */
 const OWNER_SILENCE_MILLISECONDS = 700;
@@ -204,7 +210,7 @@
     });
     // After a long delay the last ping is outdated, so another one is sent.
     await Promise.all([
-      owner && claimDelay > PING_TIMEOUT_MILLISECONDS
+      owner && claimDelay > PEER_TIMEOUT_MILLISECONDS
         ? this.pingOwner(owner)
         : undefined,
       clock.sleepUntil(claimAt),
@@ -234,7 +240,7 @@
       PeerMethod.ownerContact,
       {},
       PeerMessages.ownerContactResult,
-      PING_TIMEOUT_MILLISECONDS,
+      PEER_TIMEOUT_MILLISECONDS,
     );
     if (result.isLeft()) {
       membership.markUnresponsive(candidate.name);
@@ -325,7 +331,7 @@
       PeerMethod.ping,
       {},
       PeerMessages.pingResult,
-      PING_TIMEOUT_MILLISECONDS,
+      OWNER_PING_TIMEOUT_MILLISECONDS,
     );
     const now = clock.monotonicNow();
     if (result.isLeft()) {
@@ -398,7 +404,7 @@
           PeerMethod.ownerContact,
           {},
           PeerMessages.ownerContactResult,
-          PING_TIMEOUT_MILLISECONDS,
+          PEER_TIMEOUT_MILLISECONDS,
         );
         if (result.isLeft()) {
           membership.markUnresponsive(host.name);
