Ask for advice before runs are preempted for a step

What callers saw: route-plan, which every other class may preempt, lost work in bursts of post-check and whenever live-watch started, also in a nearly empty cell.

Cause: runs were preempted as soon as the workers of a step's first answer were full, although the step had not asked about others with capacity. The wait before preemption counts from the time at which a step is ready, so one answer of a slow service used it up.

Why this works: while a query names usable workers that are expected to hold all waiting tasks, the step waits 1.5 s, two answers of a slow service, before others lose their runs. Where no such worker is left, nothing changes.

--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -77,6 +77,7 @@
     const {advice} = step;
     if (advice.isQueryInFlight || advice.notBefore > now) return undefined;
     advice.notBefore = now + RECHECK_MILLISECONDS;
+    advice.awaitsCapacity = false;
     const counts = step.countByWorker();
     const candidates = workers.filter(
       worker =>
@@ -117,6 +118,7 @@
       );
     }
     if (named.length === 0) return undefined;
+    advice.awaitsCapacity = isEnough;
     this.claims.add(step, this.claimsOf(step, waiting.length, selected));
     return {
       step,
--- a/packages/cell-scheduler/src/preemption_policy.ts
+++ b/packages/cell-scheduler/src/preemption_policy.ts
@@ -15,6 +15,12 @@
  */
 const MINIMUM_WAIT_MILLISECONDS = 120;
 
+/**
+ * A task waits this long instead while the advice service is asked about
+ * workers with capacity: about two answers of a slow service.
+ */
+const ADVICE_MINIMUM_WAIT_MILLISECONDS = 1_500;
+
 /** Capacity freed by preemption is reserved for the step this long. */
 const RESERVATION_MILLISECONDS = 2_500;
 
@@ -48,9 +54,7 @@
   ): Run[] {
     if (step.specification.isGang || step.reservedUntil > now) return [];
     if (step.preemptionRetryAt > now) return [];
-    const minimumWait = step.specification.isService
-      ? SERVICE_MINIMUM_WAIT_MILLISECONDS
-      : MINIMUM_WAIT_MILLISECONDS;
+    const minimumWait = minimumWaitMilliseconds(step);
     const hasWaited = step.tasks.some(
       task => task.phase === 'waiting' && now - task.notBefore > minimumWait,
     );
@@ -120,6 +124,13 @@
   }
 }
 
+function minimumWaitMilliseconds(step: StepState): number {
+  if (step.advice.awaitsCapacity) return ADVICE_MINIMUM_WAIT_MILLISECONDS;
+  return step.specification.isService
+    ? SERVICE_MINIMUM_WAIT_MILLISECONDS
+    : MINIMUM_WAIT_MILLISECONDS;
+}
+
 /**
  * True while another step of at least equal precedence waits for capacity that
  * is being freed on the worker. Its runs are preempted for one step at a time.
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -113,6 +113,15 @@
     if (step.specification.isGang) placed.forEach(place);
     result.placements.push(...placed);
     if (placed.length === waiting.length) return;
+    if (needsAdvice) {
+      const query = this.advice.queryFor(
+        step,
+        waiting.filter(task => isWaiting(task, now)),
+        this.serviceWorkers(step),
+        now,
+      );
+      if (query) result.adviceQueries.push(query);
+    }
     const approved = needsAdvice ? this.approvedWorkers(step) : workers;
     result.preemptions.push(
       ...this.preemption.selectVictims(
@@ -122,14 +131,6 @@
         now,
       ),
     );
-    if (!needsAdvice) return;
-    const query = this.advice.queryFor(
-      step,
-      waiting.filter(task => isWaiting(task, now)),
-      this.serviceWorkers(step),
-      now,
-    );
-    if (query) result.adviceQueries.push(query);
   }
 
   /**
--- a/packages/cell-scheduler/src/step_advice.ts
+++ b/packages/cell-scheduler/src/step_advice.ts
@@ -22,6 +22,11 @@
    */
   readonly queriedWorkers = new Set<string>();
   isQueryInFlight = false;
+  /**
+   * True while a query that is about to be sent or in flight names workers that
+   * are expected to have capacity for all waiting tasks.
+   */
+  awaitsCapacity = false;
   /** Monotonic deadline before which no further query is sent. */
   notBefore = 0;
 
