Ask again about approved workers before others

What callers saw: at size, steps of route-plan waited up to 30 s in a cell with room for them.

Cause: a ticket lasts 2.5 s, and a step that waits for longer has to ask again. Its queries named the workers with the most free processors first, of which the service approves a third, also when approved ones had capacity.

Why this works: an approval does not change during a worker's life, so an approved worker with capacity is a certain place. The order among others is as before. The new test saw none of the approved workers named before.

--- a/packages/cell-scheduler/src/advice_planner.test.ts
+++ b/packages/cell-scheduler/src/advice_planner.test.ts
@@ -313,3 +313,29 @@
   });
   expect(cell.pass(4_600).adviceQueries).toEqual([]);
 });
+
+// Load: many steps with slow advice wait in a nearly full cell, longer than their
+// tickets are valid. Guards against queries about new workers, of which the
+// service approves a third, while approved ones have capacity.
+it('names workers that were approved before first', () => {
+  const cell = CellFixture.create();
+  for (let index = 0; index < 40; index++) {
+    cell.addWorker(`large${index}`, {milliCores: 8_000});
+  }
+  for (let index = 0; index < 4; index++) cell.addWorker(`approved${index}`);
+  const submission = createSubmission('a', {taskCount: 4}, {advice: ADVICE});
+  cell.state.add(submission);
+  const {advice} = submission.stepsOf(0)[0]!;
+  for (let index = 0; index < 4; index++) {
+    const id = `approved${index}`;
+    advice.queriedWorkers.add(`${id}@1`);
+    advice.tickets.set(id, {ticket: 't', workerBornAt: 1, validUntil: 500});
+  }
+  const [query] = cell.pass(1_000).adviceQueries;
+  expect(query?.workerIds.slice(0, 4).sort()).toEqual([
+    'approved0',
+    'approved1',
+    'approved2',
+    'approved3',
+  ]);
+});
--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -164,7 +164,8 @@
    * Where naming a worker is cheap, steps that query at the same time name
    * different workers. Where it is expensive, the workers with the most free
    * processors come first, so that few need to be named. What the queries under
-   * way are expected to take does not count as free.
+   * way are expected to take does not count as free. Workers that the service
+   * has approved before come first in any case, since they are approved again.
    */
   private inQueryOrder(
     step: StepState,
@@ -175,8 +176,12 @@
       return [...usable.slice(start), ...usable.slice(0, start)];
     }
     return usable
-      .map(candidate => ({candidate, left: this.unclaimed(candidate.worker)}))
-      .sort((a, b) => b.left - a.left)
+      .map(candidate => ({
+        candidate,
+        probability: approvalProbability(step, candidate.worker),
+        left: this.unclaimed(candidate.worker),
+      }))
+      .sort((a, b) => b.probability - a.probability || b.left - a.left)
       .map(({candidate}) => candidate);
   }
 
