Allow a new owner a longer silence

Cause: a new owner polls all workers, opens its connections and catches up on the waiting work, and answers pings late meanwhile. Its own claim did not count as a recent change of the owner, so it had 700 ms like an owner of old. The next owner had the same work to do.

Why this works: the first change within 12 s doubles the silence, the second quadruples it; a cell without a recent change is as before. The first owner that a process learns of is no change, so a restart alone does not slow the detection. Pings are timed so that the last one ends when the silence is long enough.

--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -54,8 +54,11 @@
     const known = this.newestOwner;
     if (known && known.epoch >= owner.epoch) return;
     this.newestOwner = owner;
-    const changes = [...this.ownerChanges, this.clock.monotonicNow()];
-    this.ownerChanges = changes.slice(-MAXIMUM_OWNER_CHANGES);
+    // The first owner that this process learns of replaces none.
+    if (known) {
+      const changes = [...this.ownerChanges, this.clock.monotonicNow()];
+      this.ownerChanges = changes.slice(-MAXIMUM_OWNER_CHANGES);
+    }
     this.lastOwnerContactAt =
       source === 'news' ? this.clock.monotonicNow() : -Infinity;
     this.logger.info('shard owner updated', {
--- a/packages/cell-host/src/owner_election.test.ts
+++ b/packages/cell-host/src/owner_election.test.ts
@@ -131,6 +131,39 @@
   election.stop();
 });
 
+// Guards against a series of takeovers: each new owner is silent for a moment
+// while it polls all workers, and was replaced a few seconds after its claim.
+it('allows a new owner a longer silence', async () => {
+  membership.updateOwner(ownerFixture('strong-2', 2), 'news');
+  await clock.advance(20_000);
+  const owner = ownerFixture('strong-1', 3);
+  membership.updateOwner(owner, 'news');
+  const busyUntil = clock.monotonicNow() + 1_100;
+  call.mockImplementation(
+    async (
+      address: string,
+      _method: string,
+      _parameters: unknown,
+      _result: unknown,
+      timeoutMilliseconds: number,
+    ) => {
+      const isOwner = address === owner.address;
+      if (isOwner && clock.monotonicNow() < busyUntil) {
+        await clock.sleepUntil(clock.monotonicNow() + timeoutMilliseconds);
+        return noAnswer;
+      }
+      const status = isOwner
+        ? {isOwner, isLogDown: false}
+        : {heardMillisecondsAgo: 1e9};
+      return Right({...status, epoch: 3, desiredStateVersion: 0});
+    },
+  );
+  void election.run();
+  await clock.advance(6_000);
+  expect(append).not.toHaveBeenCalled();
+  election.stop();
+});
+
 // Guards against many hosts that read all records of the shard at the same time
 // because each of them lost a claim to the same new owner.
 it('reads the log for a newer owner only after a second lost claim', async () => {
--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -331,7 +331,7 @@
       PeerMethod.ping,
       {},
       PeerMessages.pingResult,
-      OWNER_PING_TIMEOUT_MILLISECONDS,
+      this.pingTimeout(),
     );
     const now = clock.monotonicNow();
     if (result.isLeft()) {
@@ -357,18 +357,31 @@
   }
 
   /**
-   * Each further recent change of the owner doubles the silence that the next
-   * change requires: an owner that answers late under load would do so on any
-   * host, and each takeover adds load.
+   * Each recent change of the owner doubles the silence that the next change
+   * requires. A new owner polls all workers and catches up on waiting work, so
+   * it answers late for some seconds; so would the owner after it.
    */
   private silenceLimit(): number {
     const {membership, clock} = this.options;
     const since = clock.monotonicNow() - OWNER_CHANGE_SPAN_MILLISECONDS;
     const changes = membership.ownerChangesSince(since);
-    const doublings = Math.min(MAXIMUM_DOUBLINGS, Math.max(0, changes - 1));
+    const doublings = Math.min(MAXIMUM_DOUBLINGS, changes);
     return OWNER_SILENCE_MILLISECONDS * 2 ** doublings;
   }
 
+  /** A repeated ping lasts until the silence is long enough for a claim. */
+  private pingTimeout(): number {
+    const {membership, clock} = this.options;
+    const silence = clock.monotonicNow() - membership.lastOwnerContactAt;
+    if (silence < OWNER_PING_TIMEOUT_MILLISECONDS || silence === Infinity) {
+      return OWNER_PING_TIMEOUT_MILLISECONDS;
+    }
+    return Math.min(
+      OWNER_PING_TIMEOUT_MILLISECONDS,
+      Math.max(PEER_TIMEOUT_MILLISECONDS, this.silenceLimit() - silence),
+    );
+  }
+
   private isLogDownTooLong(isLogDown: boolean, now: number): boolean {
     if (!isLogDown) {
       this.ownerLogDownSince = undefined;
