--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -101,6 +101,8 @@
   private ownerLogDownSince: number | undefined;
   /** Monotonic time since which no host has answered; undefined otherwise. */
   private isolatedSince: number | undefined;
+  /** Why the last ping that failed did so, for the log. */
+  private lastPingFailure = '';
   /** Answers of the hosts that were last asked about the owner, for the log. */
   private lastPeerAnswers = '';
   /**
@@ -204,6 +206,7 @@
         silenceDetectedAt - membership.lastOwnerContactAt,
       ),
       limitMilliseconds: this.silenceLimit(),
+      pingFailure: this.lastPingFailure,
       peerAnswers: this.lastPeerAnswers,
       rank: this.rank(),
       delayMilliseconds: claimDelay,
@@ -335,6 +338,7 @@
     );
     const now = clock.monotonicNow();
     if (result.isLeft()) {
+      this.lastPingFailure = (result.extract() as TypedError).message;
       membership.markUnresponsive(owner.hostName);
       // A refused connection means that the process has ended.
       if ((result.extract() as TypedError).details.isRefused === true) {
