--- a/packages/cell-scheduler/src/preemption_policy.test.ts
+++ b/packages/cell-scheduler/src/preemption_policy.test.ts
@@ -75,6 +75,28 @@
     ).toEqual(['first', 'second']);
   });
 
+  // Load: a burst of urgent steps in a full cell. Guards against a step that got
+  // capacity for some of its tasks and then tries no other worker for the time
+  // of its reservation, although runs that it may preempt are there.
+  it('preempts further runs for the tasks that got no capacity', () => {
+    const cell = createFullCell();
+    cell.state.add(createSubmission('first', {}, {priority: 0}));
+    cell.state.add(createSubmission('second', {taskCount: 2}, {priority: 0}));
+    cell.pass(10);
+    expect(cell.pass(10 + WAITED).preemptions).toHaveLength(2);
+    cell.addWorker('w3', {milliCores: 1_000});
+    const batch = createSubmission(
+      'more',
+      {savesCheckpoints: true},
+      {priority: 2},
+    );
+    cell.state.add(batch);
+    const step = batch.stepsOf(0)[0]!;
+    cell.run(step, step.tasks[0]!, cell.state.workers.get('w3')!);
+    const later = cell.pass(10 + WAITED + 300).preemptions;
+    expect(later.map(run => run.workerId)).toEqual(['w3']);
+  });
+
   // Guards against services that are stopped in favour of other work.
   it('never stops services or work of equal or higher priority', () => {
     const cell = CellFixture.create();
--- a/packages/cell-scheduler/src/preemption_policy.ts
+++ b/packages/cell-scheduler/src/preemption_policy.ts
@@ -52,15 +52,15 @@
     workers: WorkerState[],
     now: number,
   ): Run[] {
-    if (step.specification.isGang || step.reservedUntil > now) return [];
-    if (step.preemptionRetryAt > now) return [];
+    if (step.specification.isGang || step.preemptionRetryAt > now) return [];
     const minimumWait = minimumWaitMilliseconds(step);
     const hasWaited = step.tasks.some(
       task => task.phase === 'waiting' && now - task.notBefore > minimumWait,
     );
     if (!hasWaited) return [];
     const victims: Run[] = [];
-    let needed = waitingCount;
+    let needed = waitingCount - countReserved(step, workers, now);
+    if (needed <= 0) return [];
     for (const {worker, runs} of this.cheapestCandidates(step, workers, now)) {
       if (needed === 0) break;
       needed--;
@@ -69,7 +69,8 @@
       victims.push(...runs);
     }
     if (victims.length > 0) step.reservedUntil = now + RESERVATION_MILLISECONDS;
-    else step.preemptionRetryAt = now + RETRY_MILLISECONDS;
+    // Other tasks of the step may get capacity before the reservation ends.
+    step.preemptionRetryAt = now + RETRY_MILLISECONDS;
     return victims;
   }
 
@@ -85,7 +86,7 @@
       [];
     for (const worker of workers) {
       if (!this.choice.isEligible(step, worker, now)) continue;
-      if (isClaimedByOther(step, worker, now)) continue;
+      if (isClaimed(step, worker, now)) continue;
       const runs = this.victimsOn(step, worker, now);
       if (!runs) continue;
       const cost = runs.reduce((sum, run) => sum + lostWork(run, now), 0);
@@ -131,17 +132,25 @@
     : MINIMUM_WAIT_MILLISECONDS;
 }
 
-/**
- * True while another step of at least equal precedence waits for capacity that
- * is being freed on the worker. Its runs are preempted for one step at a time.
- */
-function isClaimedByOther(
+/** Number of workers whose capacity is being freed for the step. */
+function countReserved(
   step: StepState,
-  worker: WorkerState,
+  workers: WorkerState[],
   now: number,
-): boolean {
+): number {
+  return workers.filter(
+    worker => worker.reservedFor === step && worker.reservedUntil > now,
+  ).length;
+}
+
+/**
+ * True while this step, or another of at least equal precedence, waits for
+ * capacity that is being freed on the worker. The runs of a worker are preempted
+ * for one task at a time.
+ */
+function isClaimed(step: StepState, worker: WorkerState, now: number): boolean {
   const holder = worker.reservedFor;
-  if (!holder || holder === step || worker.reservedUntil <= now) return false;
+  if (!holder || worker.reservedUntil <= now) return false;
   if (holder.isUnderWay) return false;
   return holder.submission.queue.priority <= step.submission.queue.priority;
 }
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -12,7 +12,7 @@
   gangAttempt = 0;
   /**
    * Monotonic deadline until which capacity freed by preemption is reserved for
-   * the step; no more runs are preempted for it before then.
+   * the step.
    */
   reservedUntil = 0;
   /** Monotonic deadline before which preemption is not tried again. */
