Wake the owner when a lease ends

Why this works: the owner waits no longer than until the next end of a lease that makes runs count as lost.

--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -55,7 +55,7 @@
 
 /**
  * Shortest interval between two checks of all sessions for draining workers,
- * missing directory entries and sessions that have ended.
+ * missing directory entries, expired leases and sessions that have ended.
  */
 const SESSION_CHECK_MILLISECONDS = 50;
 
@@ -104,6 +104,8 @@
   private passDelayMilliseconds = COALESCE_MILLISECONDS;
   /** Monotonic time of the next check of all sessions. */
   private sessionCheckAt = 0;
+  /** Monotonic time of the next end of a lease that makes runs count as lost. */
+  private nextLeaseEndAt = Infinity;
   /** Monotonic time before which no slow pass is logged. */
   private slowPassLogAt = 0;
 
@@ -321,7 +323,8 @@
     const {clock} = this.options;
     while (!this.stopping.signal.aborted) {
       if (!this.hasChanged) {
-        await this.wakeUp.wait(clock.monotonicNow() + TICK_MILLISECONDS);
+        const tickAt = clock.monotonicNow() + TICK_MILLISECONDS;
+        await this.wakeUp.wait(Math.min(tickAt, this.nextLeaseEndAt));
       }
       await clock.sleepUntil(clock.monotonicNow() + this.passDelayMilliseconds);
       if (this.stopping.signal.aborted) return;
@@ -347,9 +350,15 @@
   private tick(now: number): void {
     const {clock} = this.options;
     this.sessionCheckAt = now + SESSION_CHECK_MILLISECONDS;
+    this.nextLeaseEndAt = Infinity;
     for (const [id, session] of this.sessions) {
       session.checkListing(now);
       session.checkLeases(now);
+      const {runs, runsEndAt} = session.worker;
+      if (runs.size > 0 && runsEndAt < this.nextLeaseEndAt) {
+        // A lease has ended once its last millisecond has passed.
+        this.nextLeaseEndAt = runsEndAt + 1;
+      }
       session.evacuate(now);
       if (session.hasEnded) {
         session.stop();
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -458,7 +458,10 @@
     }
   }
 
-  /** Marks the runs of an unreachable worker lost once its leases expired. */
+  /**
+   * Updates the time at which the runs of an unreachable worker end, and marks
+   * them lost once it has passed.
+   */
   checkLeases(now: number): void {
     this.worker.runsEndAt = this.isReachable ? Infinity : this.leases.expireAt;
     if (now <= this.worker.runsEndAt) return;
