Keep the connections of slow calls between hosts

Cause: a call that timed out closed its connection, and the host opened new ones for all later calls, twice a second, up to 24 to a host. A process accepts one connection in each turn of its event loop, which takes 50 to 170 ms in an owner that has just taken over. So 97 hosts opened connections faster than the owner accepted them; those that it accepted were already given up, and the queue for new ones was full. Hosts that had a connection were served in 40 to 200 ms, the others never; they took the owner for dead, and the next one met the same crowd. Repair added the load that kept the cell down.

Why this works: a call that times out leaves its connection to the late answer and to the calls after it. Connections are replaced when a host answers nothing, first at once, as silent connections need it, then after 1, 2 and 4 s. There are 12 of them at most, and 4,096 may wait to be accepted. A call that found no free connection is known not to have been sent, so its caller gets a true 503.

--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -12,8 +12,11 @@
 import type {z} from 'zod';
 import {NotOwnerError} from './not_owner_error.js';
 
-/** Maximum connections to one host; further calls wait for a free one. */
-const CONNECTIONS_PER_HOST = 24;
+/**
+ * Maximum connections to one host; further calls wait for a free one. A new
+ * owner gets as many from each host at the same time, and accepts them slowly.
+ */
+const CONNECTIONS_PER_HOST = 12;
 
 /** A host that accepts no connection within this time is unreachable. */
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
@@ -115,6 +118,7 @@
       connections: CONNECTIONS_PER_HOST,
       connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
+      keepsSlowConnections: true,
     });
     this.clients.set(address, client);
     return client;
--- a/packages/cell-host/src/peer_server.ts
+++ b/packages/cell-host/src/peer_server.ts
@@ -14,6 +14,12 @@
 /** Largest request body between hosts: a submission and its envelope. */
 const MAXIMUM_BODY_BYTES = 4_000_000;
 
+/**
+ * Connections that may wait to be accepted. After a takeover all hosts of a cell
+ * connect to the new owner at the same time.
+ */
+const MAXIMUM_WAITING_CONNECTIONS = 4_096;
+
 /** Serves the calls of other hosts. */
 export class PeerServer {
   // Failures are sent to the caller and logged where they occur.
@@ -106,7 +112,9 @@
   listen(address: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, address, () => resolve());
+      this.server.listen(port, address, MAXIMUM_WAITING_CONNECTIONS, () =>
+        resolve(),
+      );
     });
   }
 
--- a/packages/http-client/src/http_client.test.ts
+++ b/packages/http-client/src/http_client.test.ts
@@ -104,6 +104,42 @@
     expect(answer.map(({body}) => body.toString()).extract()).toBe('answered');
   });
 
+  // Guards against a busy server that accepts few connections in each turn of its
+  // event loop and gets new ones for every slow call, so that all its answers
+  // reach connections that their callers have closed.
+  it('keeps the connections of slow calls and opens few new ones', async () => {
+    let connections = 0;
+    const waiting: Array<() => void> = [];
+    const server = createServer((_request, response) => {
+      waiting.push(() => response.end('late'));
+    });
+    server.on('connection', () => connections++);
+    closers.push(() => server.closeAllConnections());
+    const url = await listen(server);
+    const client = HttpClient.create({
+      connections: 2,
+      connectTimeoutMilliseconds: 5_000,
+      keepAliveMilliseconds: 10_000,
+      keepsSlowConnections: true,
+    });
+    const call = {url, method: 'GET', timeoutMilliseconds: 50} as const;
+    const errors: unknown[] = [];
+    for (let index = 0; index < 20; index++) {
+      errors.push((await client.call(call)).extract());
+    }
+    // The first two connections and those of one replacement at most.
+    expect(connections).toBeLessThanOrEqual(6);
+    // A call that found no free connection was never sent, and says so.
+    expect(errors.some(error => error instanceof UnavailableError)).toBe(true);
+    const opened = connections;
+    for (const answer of waiting) answer();
+    server.removeAllListeners('request');
+    server.on('request', (_request, response) => response.end('in time'));
+    const later = {...call, timeoutMilliseconds: 5_000};
+    expect((await client.call(later)).isRight()).toBe(true);
+    expect(connections).toBeLessThanOrEqual(opened + 1);
+  });
+
   // Guards against orders that leave long after they were decided: a start that
   // waited for a connection while its owner was suspended reached a worker that
   // had restarted, and ran a finished task again.
--- a/packages/http-client/src/http_client.ts
+++ b/packages/http-client/src/http_client.ts
@@ -30,11 +30,21 @@
   connectTimeoutMilliseconds: number;
   /** Idle time after which a connection is closed. */
   keepAliveMilliseconds: number;
+  /**
+   * Whether a call that times out leaves its connection open for the late
+   * response, and the connections of a server that answers no call are replaced
+   * less and less often. A server with a long event loop accepts few
+   * connections; opening new ones for each slow call keeps it from recovering.
+   */
+  keepsSlowConnections?: boolean;
 }
 
 /** Minimum interval between two replacements of the connections. */
 const REPLACEMENT_INTERVAL_MILLISECONDS = 500;
 
+/** Longest interval for a server that does not answer at all. */
+const MAXIMUM_REPLACEMENT_INTERVAL_MILLISECONDS = 4_000;
+
 /** Time that replaced connections get to finish the calls in flight. */
 const DRAIN_MILLISECONDS = 5_000;
 
@@ -56,6 +66,8 @@
   private readonly clock = SystemClock.create();
   private agent: Agent;
   private replacedAt = -Infinity;
+  private replacementInterval = REPLACEMENT_INTERVAL_MILLISECONDS;
+  private answeredAt = -Infinity;
 
   private constructor(private readonly options: HttpClientOptions) {
     this.agent = this.createAgent();
@@ -73,21 +85,24 @@
    */
   call(call: HttpCall): Promise<Either<TypedError, HttpResponse>> {
     const deadline = CallDeadline.create(this.clock, call.timeoutMilliseconds);
+    const startedAt = performance.now();
     return new Promise(resolve => {
       const pending = PendingResponse.create(deadline, outcome => {
         clearTimeout(timer);
+        if ('status' in outcome) this.noteAnswer();
         resolve(
           'status' in outcome
             ? Right(outcome)
-            : Left(toError(call.url, outcome.thrown, false)),
+            : Left(toError(call.url, outcome.thrown)),
         );
       });
       const timer = setTimeout(() => {
         void afterPendingInput().then(() => {
           if (pending.isSettled) return;
-          pending.abort(new Error('timed out'));
-          this.replaceAgent();
-          resolve(Left(toError(call.url, undefined, true)));
+          const error = this.options.keepsSlowConnections
+            ? this.abandon(call, pending, startedAt)
+            : this.abort(call, pending);
+          resolve(Left(error));
         });
       }, call.timeoutMilliseconds);
       this.send(call, pending);
@@ -112,10 +127,46 @@
     return this.agent.destroy();
   }
 
+  /** Ends a call that timed out and leaves its connection open. */
+  private abandon(
+    call: HttpCall,
+    pending: PendingResponse,
+    startedAt: number,
+  ): TypedError {
+    pending.abandon(() => this.noteAnswer());
+    if (!pending.isSent) {
+      return UnavailableError.create(
+        `${timeoutMessage(call.url)} before it was sent`,
+        {isUnreachable: true},
+      );
+    }
+    // Calls that were answered since then show that the connections work.
+    if (this.answeredAt < startedAt) this.replaceAgent();
+    return UncertainError.create(timeoutMessage(call.url));
+  }
+
+  /** Ends a call that timed out, and its connection with it. */
+  private abort(call: HttpCall, pending: PendingResponse): TypedError {
+    pending.abort(new Error('timed out'));
+    this.replaceAgent();
+    return UncertainError.create(timeoutMessage(call.url));
+  }
+
+  private noteAnswer(): void {
+    this.answeredAt = performance.now();
+    this.replacementInterval = REPLACEMENT_INTERVAL_MILLISECONDS;
+  }
+
   private replaceAgent(): void {
     const now = performance.now();
-    if (now - this.replacedAt < REPLACEMENT_INTERVAL_MILLISECONDS) return;
+    if (now - this.replacedAt < this.replacementInterval) return;
     this.replacedAt = now;
+    if (this.options.keepsSlowConnections) {
+      this.replacementInterval = Math.min(
+        MAXIMUM_REPLACEMENT_INTERVAL_MILLISECONDS,
+        this.replacementInterval * 2,
+      );
+    }
     const replaced = this.agent;
     this.agent = this.createAgent();
     setTimeout(() => void replaced.destroy(), DRAIN_MILLISECONDS).unref();
@@ -146,18 +197,16 @@
   }
 }
 
-function toError(
-  url: string,
-  thrown: unknown,
-  isTimedOut: boolean,
-): TypedError {
+function timeoutMessage(url: string): string {
+  return `no answer from ${url.split('?')[0]}: timed out`;
+}
+
+function toError(url: string, thrown: unknown): TypedError {
   const cause = (thrown ?? {}) as {code?: string | number; message?: string};
-  const reason = isTimedOut
-    ? 'timed out'
-    : `${cause.code ?? ''} ${cause.message ?? ''}`.trim();
+  const reason = `${cause.code ?? ''} ${cause.message ?? ''}`.trim();
   const message = `no answer from ${url.split('?')[0]}: ${reason}`;
   if (thrown instanceof UnavailableError) {
-    return UnavailableError.create(message);
+    return UnavailableError.create(message, {isUnreachable: true});
   }
   return CONNECT_FAILURE.test(reason)
     ? UnavailableError.create(message, {
--- a/packages/http-client/src/pending_response.ts
+++ b/packages/http-client/src/pending_response.ts
@@ -15,6 +15,7 @@
   private status = 0;
   private readonly chunks: Buffer[] = [];
   private isOver = false;
+  private onLateResponse: (() => void) | undefined;
 
   private constructor(
     private readonly deadline: CallDeadline,
@@ -33,6 +34,20 @@
     return this.isOver;
   }
 
+  /** True once the request has been written to a connection. */
+  get isSent(): boolean {
+    return this.controller !== undefined;
+  }
+
+  /**
+   * Ends the call for its caller. A request that was sent keeps its connection,
+   * and `onLateResponse` is called when the response ends.
+   */
+  abandon(onLateResponse: () => void): void {
+    this.isOver = true;
+    this.onLateResponse = onLateResponse;
+  }
+
   /** Aborts the call, even if it is still waiting for a connection. */
   abort(reason: Error): void {
     this.isOver = true;
@@ -64,6 +79,7 @@
   }
 
   onResponseEnd(): void {
+    this.onLateResponse?.();
     const [first] = this.chunks;
     const body =
       first && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
