Count contact with a slow owner as recent

A host that had contact with the owner within 600 ms confirmed it to others, but an owner may take 900 ms to answer a ping now. Hosts that are no candidates then pinged the busy owner themselves.

--- a/packages/cell-host/src/owner_election.ts
+++ b/packages/cell-host/src/owner_election.ts
@@ -53,7 +53,7 @@
 const MAXIMUM_DOUBLINGS = 2;
 
 /** A host that had contact with the owner within this time confirms it. */
-const RECENT_CONTACT_MILLISECONDS = 600;
+const RECENT_CONTACT_MILLISECONDS = OWNER_PING_TIMEOUT_MILLISECONDS;
 
 /** After its start a host waits this long to discover an existing owner. */
 const START_DELAY_MILLISECONDS = 350;
