Ask for advice through hosts that answer

Callers saw steps wait without bound while hosts that could ask the advice service were idle.

Cause: a failed channel was left alone for 1 s, but a query to a silent host takes over 2 s to fail, so two silent hosts alternated. The least loaded channel came first, and a silent one has no load. An owner does not ping other hosts and did not mark them as unresponsive, so they stayed channels for good.

The dispatcher now doubles the backoff of a channel with each failure in a row, up to 8 s, and then sends it one query at a time until one is answered. The backoff grows only if another query was answered meanwhile and the failure is no refusal: otherwise the service may be at fault, and recovery from its outage would be slow. A channel is ranked by its load plus the risk: none after a recent answer, 500 ms without one, 1,500 ms after a failure; of equal ones, the one that failed first. Channels reserved for short queries are counted among the working ones, so that long queries are not left with silent hosts only. A query that failed by the fault of its channel is sent again at once.

RemoteAdviser records in the membership whether the host answered, so relays and handovers avoid silent hosts too. A leaving owner still offers the shard to unresponsive hosts, after all others, since a short disturbance of its own may have marked them.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -183,12 +183,24 @@
     this.dropOwner();
   }
 
-  /** Other hosts, in order of preference as owner of the shard. */
-  private candidates(): HostRecord[] {
+  /** Responsive hosts, in order of preference as owner of the shard. */
+  private responsiveCandidates(): HostRecord[] {
     const peers = this.membership.responsivePeers();
     return this.ranking.rank(peers, this.owner?.epoch ?? 0);
   }
 
+  /** As above, followed by the unresponsive hosts, which may be back. */
+  private candidates(): HostRecord[] {
+    const responsive = this.responsiveCandidates();
+    const others = this.membership
+      .peers()
+      .filter(host => !responsive.includes(host));
+    return [
+      ...responsive,
+      ...this.ranking.rank(others, this.owner?.epoch ?? 0),
+    ];
+  }
+
   /** Asks the hosts one after the other to take over, until one succeeds. */
   private async handOver(hosts: HostRecord[], reason: string): Promise<void> {
     const {peers, logger} = this.options;
@@ -230,7 +242,7 @@
         continue;
       }
       if (isLogDown) continue;
-      const stronger = this.candidates().filter(
+      const stronger = this.responsiveCandidates().filter(
         host => host.milliCores >= settings.milliCores * STRONGER_HOST_FACTOR,
       );
       await this.handOver(stronger.slice(0, 1), 'a stronger host is available');
@@ -347,7 +359,7 @@
     for (const host of this.membership.responsivePeers()) {
       channels.push({
         hostName: host.name,
-        adviser: RemoteAdviser.create(peers, host.address),
+        adviser: RemoteAdviser.create(peers, host, this.membership),
       });
     }
     return channels;
--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -41,6 +41,8 @@
 
   private readonly clients = new Map<string, HttpClient>();
 
+  private readonly unanswered = new WeakSet<TypedError>();
+
   private constructor() {}
 
   static create(): PeerClient {
@@ -87,6 +89,15 @@
     }
   }
 
+  /**
+   * True for a failure of a call that the host did not answer at all. The error
+   * itself does not show it: a host also answers with the failures of its own
+   * calls.
+   */
+  isUnanswered(failure: TypedError): boolean {
+    return this.unanswered.has(failure);
+  }
+
   private async post(
     address: string,
     body: unknown,
@@ -99,6 +110,7 @@
       body: JSON.stringify(body),
       timeoutMilliseconds,
     });
+    if (answer.isLeft()) this.unanswered.add(answer.extract() as TypedError);
     return answer.chain(({body: bytes}) => {
       try {
         return Right(JSON.parse(bytes.toString('utf8')) as JSONRPCResponse);
--- a/packages/shard-owner/src/advice_dispatcher.test.ts
+++ b/packages/shard-owner/src/advice_dispatcher.test.ts
@@ -5,9 +5,10 @@
   WorkerState,
 } from '@cardamomfield/cell-scheduler';
 import {ManualClock} from '@cardamomfield/clock';
+import {UncertainError} from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
 import {MemoryMetrics} from '@cardamomfield/metrics';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {beforeEach, describe, expect, it} from 'vitest';
 import {AdviceDispatcher} from './advice_dispatcher.js';
 
@@ -105,6 +106,133 @@
     await clock.advance(5_000);
     expect(step.advice.isQueryInFlight).toBe(false);
   });
+
+  // Guards against a step that gets no advice while hosts that can be asked are
+  // idle: two silent hosts look least loaded in turn, for as long as they are
+  // silent.
+  it('asks another host when some hosts do not answer', async () => {
+    const step = createStep('a');
+    const silent: Adviser['ask'] = async (_step, _workers, timeout) => {
+      await clock.sleepUntil(clock.monotonicNow() + timeout);
+      return Left(UncertainError.create('timed out'));
+    };
+    const answering: Adviser['ask'] = async () => {
+      await clock.sleepUntil(clock.monotonicNow() + ANSWER_MILLISECONDS);
+      return Right({
+        tickets: new Map([['w', 't']]),
+        validMilliseconds: ADVICE.validMilliseconds,
+      });
+    };
+    const dispatcher = AdviceDispatcher.create({
+      channels: () => [
+        {hostName: 'silent-1', adviser: {ask: silent}},
+        {hostName: 'silent-2', adviser: {ask: silent}},
+        {hostName: 'answering', adviser: {ask: answering}},
+      ],
+      workers: new Map([['w', createWorker()]]),
+      clock,
+      logger: SilentLogger.create(),
+      metrics: MemoryMetrics.create(),
+      onChange: () => {},
+    });
+    const {advice} = step;
+    while (advice.tickets.size === 0 && clock.monotonicNow() < 30_000) {
+      if (!advice.isQueryInFlight && advice.notBefore <= clock.monotonicNow()) {
+        dispatcher.send([{step, workerIds: ['w']}]);
+      }
+      await clock.advance(50);
+    }
+    expect(clock.monotonicNow()).toBeLessThan(9_000);
+  });
+
+  // Guards against queries lost in a steady stream: while the hosts that answer
+  // are busy, each turn of a silent one delays steps by a time-out.
+  it('tries a silent host more and more rarely, by one query', async () => {
+    const steps = Array.from({length: 10}, (_, index) =>
+      createStep(String(index)),
+    );
+    const triedAt: number[] = [];
+    let retryDelay: number | undefined;
+    let isSilent = true;
+    let inFlight = 0;
+    let mostInFlight = 0;
+    const answering: Adviser['ask'] = async () => {
+      await clock.sleepUntil(clock.monotonicNow() + ANSWER_MILLISECONDS);
+      return Right({tickets: new Map(), validMilliseconds: 1});
+    };
+    const silentAtFirst: Adviser['ask'] = async (name, ids, timeout) => {
+      if (!isSilent) {
+        mostInFlight = Math.max(mostInFlight, ++inFlight);
+        return answering(name, ids, timeout).finally(() => inFlight--);
+      }
+      triedAt.push(clock.monotonicNow());
+      await clock.sleepUntil(clock.monotonicNow() + timeout);
+      return Left(UncertainError.create('timed out'));
+    };
+    const dispatcher = AdviceDispatcher.create({
+      channels: () => [
+        {hostName: 'silent', adviser: {ask: silentAtFirst}},
+        {hostName: 'answering', adviser: {ask: answering}},
+      ],
+      workers: new Map([['w', createWorker()]]),
+      clock,
+      logger: SilentLogger.create(),
+      metrics: MemoryMetrics.create(),
+      onChange: () => {
+        const now = clock.monotonicNow();
+        for (const {advice} of steps) {
+          if (advice.notBefore === 0) continue;
+          retryDelay ??= advice.notBefore - now;
+        }
+      },
+    });
+    const queryUntil = async (end: number) => {
+      while (clock.monotonicNow() < end) {
+        const now = clock.monotonicNow();
+        const idle = steps.filter(
+          ({advice}) => !advice.isQueryInFlight && advice.notBefore <= now,
+        );
+        dispatcher.send(idle.map(step => ({step, workerIds: ['w']})));
+        await clock.advance(50);
+      }
+    };
+    await queryUntil(45_000);
+    // The time-out and the backoff after each failure.
+    const backoffs = triedAt
+      .filter((time, index) => time - (triedAt[index - 1] ?? -1) > 0)
+      .map((time, index, times) => (times[index + 1] ?? NaN) - time)
+      .slice(0, 5)
+      .map(gap => Math.floor((gap - 1_910) / 1_000));
+    expect(backoffs).toEqual([1, 2, 4, 8, 8]);
+    // The first two queries were sent before any had failed.
+    expect(new Set(triedAt.slice(1)).size).toBe(triedAt.length - 1);
+    // The step of a lost query does not wait any longer.
+    expect(retryDelay).toBe(0);
+    isSilent = false;
+    await queryUntil(60_000);
+    expect(mostInFlight).toBe(2);
+  });
+
+  // Guards against a slow recovery from an outage of the advice service, which
+  // is no fault of the channels.
+  it('does not lengthen the backoff while no channel answers', async () => {
+    const step = createStep('a');
+    let isDown = true;
+    const ask: Adviser['ask'] = async () =>
+      isDown
+        ? Left(UncertainError.create('down'))
+        : Right({tickets: new Map([['w', 't']]), validMilliseconds: 1_000});
+    const dispatcher = createDispatcher(ask);
+    const {advice} = step;
+    while (advice.tickets.size === 0 && clock.monotonicNow() < 30_000) {
+      isDown = clock.monotonicNow() < 20_000;
+      if (!advice.isQueryInFlight && advice.notBefore <= clock.monotonicNow()) {
+        dispatcher.send([{step, workerIds: ['w']}]);
+      }
+      await clock.advance(50);
+    }
+    expect(clock.monotonicNow()).toBeLessThan(21_200);
+  });
 });
 
 function createWorker(): WorkerState {
--- a/packages/shard-owner/src/advice_dispatcher.ts
+++ b/packages/shard-owner/src/advice_dispatcher.ts
@@ -3,6 +3,7 @@
 import type {WorkerState} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
 import {
+  RefusedError,
   type TypedError,
   UncertainError,
   toTypedError,
@@ -36,17 +37,45 @@
 /** Delay before a step is queried again after a failed query. */
 const RETRY_DELAY_MILLISECONDS = 250;
 
-/** How long a channel is not used after a failed query. */
+/**
+ * How long a channel is not used after a failed query; doubled by each further
+ * failure in a row.
+ */
 const CHANNEL_BACKOFF_MILLISECONDS = 1_000;
 
+/** Limits the backoff, so that a host that is back is soon used again. */
+const MAXIMUM_CHANNEL_BACKOFF_MILLISECONDS = 8_000;
+
+/** A host whose last answer is older than this may have gone since. */
+const RECENT_ANSWER_MILLISECONDS = 10_000;
+
+/**
+ * Added to the expected response time of a channel without a recent answer. A
+ * query waits this long for a channel known to answer instead.
+ */
+const UNPROVEN_CHANNEL_MILLISECONDS = 500;
+
+/** Applies instead after a failed query: the wait for another time-out. */
+const FAILED_CHANNEL_MILLISECONDS = TIMEOUT_MARGIN_MILLISECONDS;
+
 interface ChannelLoad {
   queries: number;
   longQueries: number;
   expectedMilliseconds: number;
+  /** Failures in a row; queries in flight at the same time count once. */
+  failures: number;
+  /** Monotonic times; -Infinity if never. */
+  failedAt: number;
+  answeredAt: number;
   /** Monotonic deadline before which the channel is not used. */
   notBefore: number;
 }
 
+interface LoadedChannel {
+  channel: AdviceChannel;
+  load: ChannelLoad;
+}
+
 interface AdviceDispatcherOptions {
   channels: () => AdviceChannel[];
   workers: ReadonlyMap<string, WorkerState>;
@@ -62,6 +91,8 @@
  */
 export class AdviceDispatcher {
   private readonly loads = new Map<string, ChannelLoad>();
+  /** Monotonic time of the last answer through any channel. */
+  private answeredAt = -Infinity;
 
   private constructor(private readonly options: AdviceDispatcherOptions) {}
 
@@ -71,35 +102,48 @@
 
   /** Sends as many of the queries as the channels have capacity for. */
   send(queries: AdviceQuery[]): void {
-    const channels = this.options.channels();
+    if (queries.length === 0) return;
+    const channels = this.options
+      .channels()
+      .map(channel => ({channel, load: this.loadOf(channel.hostName)}));
+    const longQueryChannels = withoutReserved(channels);
     for (const query of queries) {
       const expected = expectedMilliseconds(query);
-      const channel = this.pickChannel(channels, expected);
+      const isLong = expected >= LONG_QUERY_MILLISECONDS;
+      const channel = this.pickChannel(
+        isLong ? longQueryChannels : channels,
+        isLong,
+      );
       if (channel) void this.sendQuery(query, channel, expected);
     }
   }
 
+  /** Of channels that are equally good, the one that failed first comes next. */
   private pickChannel(
-    channels: AdviceChannel[],
-    expected: number,
+    channels: LoadedChannel[],
+    isLong: boolean,
   ): AdviceChannel | undefined {
     const now = this.options.clock.monotonicNow();
-    const isLong = expected >= LONG_QUERY_MILLISECONDS;
-    const reserved = Math.floor(channels.length * SHORT_QUERY_CHANNEL_SHARE);
-    const usable = isLong ? channels.slice(reserved) : channels;
-    let best: AdviceChannel | undefined;
-    let bestExpected = Infinity;
-    for (const channel of usable) {
-      const load = this.loadOf(channel.hostName);
+    let best: LoadedChannel | undefined;
+    let bestCost = Infinity;
+    for (const candidate of channels) {
+      const {load} = candidate;
       if (load.notBefore > now) continue;
-      if (load.queries >= QUERIES_PER_CHANNEL) continue;
-      if (isLong && load.longQueries >= LONG_QUERIES_PER_CHANNEL) continue;
-      if (load.expectedMilliseconds < bestExpected) {
-        best = channel;
-        bestExpected = load.expectedMilliseconds;
+      if (load.queries >= (load.failures > 0 ? 1 : QUERIES_PER_CHANNEL)) {
+        continue;
       }
+      if (isLong && load.longQueries >= LONG_QUERIES_PER_CHANNEL) continue;
+      const cost = load.expectedMilliseconds + riskMilliseconds(load, now);
+      const isBetter =
+        cost < bestCost ||
+        (cost === bestCost &&
+          best !== undefined &&
+          load.failedAt < best.load.failedAt);
+      if (!isBetter) continue;
+      best = candidate;
+      bestCost = cost;
     }
-    return best;
+    return best?.channel;
   }
 
   private async sendQuery(
@@ -131,9 +175,19 @@
     if (isLong) load.longQueries--;
     step.advice.isQueryInFlight = false;
     if (result.isLeft()) {
-      load.notBefore = now + CHANNEL_BACKOFF_MILLISECONDS;
-      step.advice.notBefore = now + RETRY_DELAY_MILLISECONDS;
+      // While no query is answered the advice service itself may be down. It
+      // also decides which queries to refuse.
+      const isChannelAtFault =
+        this.answeredAt >= sentAt &&
+        !(result.extract() instanceof RefusedError);
+      recordFailure(load, sentAt, now, isChannelAtFault);
+      step.advice.notBefore =
+        now + (isChannelAtFault ? 0 : RETRY_DELAY_MILLISECONDS);
     } else {
+      load.failures = 0;
+      load.notBefore = 0;
+      load.answeredAt = now;
+      this.answeredAt = now;
       const advice = result.unsafeCoerce();
       // The validity counts from the service's answer. A late one may have been
       // under way for as long as it is late.
@@ -196,6 +250,9 @@
       queries: 0,
       longQueries: 0,
       expectedMilliseconds: 0,
+      failures: 0,
+      failedAt: -Infinity,
+      answeredAt: -Infinity,
       notBefore: 0,
     };
     this.loads.set(hostName, load);
@@ -203,6 +260,39 @@
   }
 }
 
+/** The channels for long queries. Channels that failed are not reserved. */
+function withoutReserved(channels: LoadedChannel[]): LoadedChannel[] {
+  const working = channels.filter(({load}) => load.failures === 0).length;
+  let reserved = Math.floor(working * SHORT_QUERY_CHANNEL_SHARE);
+  return channels.filter(({load}) => load.failures > 0 || reserved-- <= 0);
+}
+
+/** The delay to be feared from a channel besides its load. */
+function riskMilliseconds(load: ChannelLoad, now: number): number {
+  if (load.failures > 0) return FAILED_CHANNEL_MILLISECONDS;
+  const isProven = now - load.answeredAt < RECENT_ANSWER_MILLISECONDS;
+  return isProven ? 0 : UNPROVEN_CHANNEL_MILLISECONDS;
+}
+
+function recordFailure(
+  load: ChannelLoad,
+  sentAt: number,
+  now: number,
+  isChannelAtFault: boolean,
+): void {
+  // Queries that were in flight at an earlier failure say nothing new.
+  if (load.failures > 0 && sentAt < load.failedAt) return;
+  load.failures = isChannelAtFault
+    ? load.failures + 1
+    : Math.max(1, load.failures);
+  load.failedAt = now;
+  const backoff = isChannelAtFault
+    ? CHANNEL_BACKOFF_MILLISECONDS * 2 ** (load.failures - 1)
+    : CHANNEL_BACKOFF_MILLISECONDS;
+  load.notBefore =
+    now + Math.min(MAXIMUM_CHANNEL_BACKOFF_MILLISECONDS, backoff);
+}
+
 function expectedMilliseconds(query: AdviceQuery): number {
   const advice = query.step.submission.queue.advice;
   if (!advice) return 0;
