Close a relay's channels after a stall

What callers saw: nothing yet; found by review. A relay host that was stopped (SIGSTOP) or blocked for seconds forwarded the orders that its sockets had buffered, long after their owner gave them up and with a fresh time limit.

Cause: the relay detected pauses by the drift between wall and monotonic clock only. Both go on while a process is stopped or blocked. Besides, when a message closed the channel, later messages of the same frame were still handled.

Why this works: while a channel is open, a timer records a turn of the event loop every 250 ms, after the sockets have been read. Each message and each turn are compared with the last one, so it does not matter whether sockets or timers come first after a stop. What is read within the limit arrived no longer ago than 480 ms, the owner's time limit for an order less 20 ms for its way. A delay of up to 230 ms never closes a channel.

Tests: the reviewer's and "drops buffered calls that are read before timers run" failed before; the latter also fails without the change to frames. The two "keeps" tests guard against closing too often and passed before as well.

Not covered: frames in the owner's socket buffer. An order that the relay forwards in time may reach the worker up to 300 ms later.

--- a/packages/cell-host/src/worker_relay.test.ts
+++ b/packages/cell-host/src/worker_relay.test.ts
@@ -51,6 +51,12 @@
   waitMilliseconds: 0,
 };
 
+/** Longer than the time limit of an order through a relay. */
+const FREEZE_MILLISECONDS = 2_000;
+
+/** A usual delay of a busy host. */
+const BUSY_MILLISECONDS = 150;
+
 /** Records the calls to a worker and answers immediately, or never. */
 class RecordingLink implements WorkerLink {
   readonly starts: StartOrder[] = [];
@@ -92,21 +98,24 @@
   close(): void {}
 }
 
-/** System clock whose wall time a test can shift to simulate a pause. */
+/** System clock that a test can shift to simulate a pause. */
 class SteppedClock implements Clock {
   private readonly system = SystemClock.create();
+  /** Shift of the wall clock alone, as over a suspension of the machine. */
   wallOffset = 0;
+  /** Shift of both clocks, as over a stop of the process. */
+  bothOffset = 0;
 
   monotonicNow(): number {
-    return this.system.monotonicNow();
+    return this.system.monotonicNow() + this.bothOffset;
   }
 
   wallNow(): number {
-    return this.system.wallNow() + this.wallOffset;
+    return this.system.wallNow() + this.wallOffset + this.bothOffset;
   }
 
   sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
-    return this.system.sleepUntil(deadline, signal);
+    return this.system.sleepUntil(deadline - this.bothOffset, signal);
   }
 }
 
@@ -295,6 +304,85 @@
     expect(host.link.starts).toEqual([next]);
   });
 
+  // Guards against a relay that forwards an order long after its owner gave it
+  // up: a frozen process (SIGSTOP) or a blocked one shows no drift between its
+  // clocks, so the order could reach a worker that has restarted since.
+  it('drops calls that were buffered while the relay was frozen', async () => {
+    const host = await openHost('relay');
+    const {links} = openLinks([host.record]);
+    const link = links.open(WORKER);
+    await link.poll(POLL);
+    const late = link.start(START);
+    await afterMicrotasks();
+    // The frame leaves in this iteration of the event loop, before the block.
+    await new Promise<void>(resolve =>
+      setImmediate(() => {
+        blockEventLoop(FREEZE_MILLISECONDS);
+        resolve();
+      }),
+    );
+    expect((await late).kind).toBe('uncertain');
+    // The relay reads its socket only now.
+    await new Promise(resolve => setTimeout(resolve, 100));
+    expect(host.link.starts).toEqual([]);
+  });
+
+  // Guards against closing channels for the delays of a busy host: each closing
+  // makes the calls on all channels uncertain.
+  it('keeps its channels when the event loop is blocked briefly', async () => {
+    const host = await openHost('relay');
+    const {links, direct} = openLinks([host.record]);
+    const link = links.open(WORKER);
+    await link.poll(POLL);
+    for (let round = 1; round <= 8; round++) {
+      const outcome = link.start({...START, attempt: round});
+      await afterMicrotasks();
+      await new Promise<void>(resolve =>
+        setImmediate(() => {
+          blockEventLoop(BUSY_MILLISECONDS);
+          resolve();
+        }),
+      );
+      expect((await outcome).kind).toBe('started');
+      await new Promise(resolve => setTimeout(resolve, 35 * round));
+    }
+    expect(direct.starts).toHaveLength(0);
+    expect(host.link.starts).toHaveLength(8);
+  });
+
+  // Guards against a stop that goes unnoticed until the timer's next turn: Node
+  // may read its sockets before it runs timers.
+  it('drops buffered calls that are read before timers run', async () => {
+    const host = await openHost('relay');
+    const {links} = openLinks([host.record]);
+    const link = links.open(WORKER);
+    await link.poll(POLL);
+    host.clock.bothOffset = FREEZE_MILLISECONDS;
+    const late = await Promise.all([
+      link.poll({...POLL, acknowledgedEnd: 9}),
+      link.poll({...POLL, acknowledgedEnd: 10}),
+    ]);
+    expect(late.every(report => report.isLeft())).toBe(true);
+    expect(host.link.polls.map(poll => poll.acknowledgedEnd)).toEqual([7]);
+  });
+
+  // Guards against a relay that refuses channels for good after a stall, and
+  // against idle time that counts as a stall.
+  it('keeps a channel over idle time and reopens one after a stall', async () => {
+    const host = await openHost('relay');
+    const {links} = openLinks([host.record]);
+    const link = links.open(WORKER);
+    await link.poll(POLL);
+    await new Promise(resolve => setTimeout(resolve, 1_200));
+    expect((await link.start(START)).kind).toBe('started');
+    blockEventLoop(FREEZE_MILLISECONDS);
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const other = openLinks([host.record]).links.open(WORKER);
+    const next = {...START, attempt: 2};
+    expect((await other.start(next)).kind).toBe('started');
+    expect(host.link.starts).toEqual([START, next]);
+  });
+
   // Guards against a malformed message that crashes the process or breaks other
   // channels.
   it('continues to serve after malformed messages of every kind', async () => {
@@ -322,6 +410,16 @@
   });
 });
 
+/** Lets a call that needs no input or output reach its stream. */
+async function afterMicrotasks(): Promise<void> {
+  for (let turn = 0; turn < 50; turn++) await Promise.resolve();
+}
+
+function blockEventLoop(milliseconds: number): void {
+  const endsAt = performance.now() + milliseconds;
+  while (performance.now() < endsAt);
+}
+
 async function upgrade(port: number): Promise<Socket> {
   const socket = connect(port, '127.0.0.1');
   socket.write(
--- a/packages/worker-relay/src/frame_stream.ts
+++ b/packages/worker-relay/src/frame_stream.ts
@@ -126,6 +126,8 @@
       return;
     }
     for (const message of messages) {
+      // The handler of an earlier message may have closed the stream.
+      if (this.isClosed) return;
       try {
         this.options.onMessage(message);
       } catch (thrown) {
--- a/packages/worker-relay/src/relay_server.ts
+++ b/packages/worker-relay/src/relay_server.ts
@@ -14,11 +14,23 @@
 import {RelayFailure} from './relay_failure.js';
 import {RelayMessages} from './relay_messages.js';
 import {RelayMethod} from './relay_method.js';
+import {RelayedWorkerLink} from './relayed_worker_link.js';
+import {StallDetector} from './stall_detector.js';
 import {WorkerLinkPool} from './worker_link_pool.js';
 
 /** Time for which answers are batched; it adds to the latency of an answer. */
 const BATCH_MILLISECONDS = 4;
 
+/** Allowance for the way of an order from its owner to this host. */
+const TRANSIT_MILLISECONDS = 20;
+
+/**
+ * Time without a turn of the event loop after which channels are closed: what
+ * is forwarded after a shorter one is still waited for by its owner.
+ */
+const STALL_LIMIT_MILLISECONDS =
+  RelayedWorkerLink.orderTimeoutMilliseconds - TRANSIT_MILLISECONDS;
+
 interface RelayServerOptions {
   links: WorkerLinks;
   clock: Clock;
@@ -35,8 +47,8 @@
 
 /**
  * Forwards an owner's calls to workers. Only the highest epoch seen is served.
- * After a pause of this process all channels are closed, so that no call that
- * was buffered during the pause is forwarded late.
+ * After a pause or stall of this process all channels are closed, so that no
+ * call that was buffered meanwhile is forwarded late.
  */
 export class RelayServer {
   private readonly methods = new JSONRPCServer<OwnerChannel>({
@@ -47,12 +59,18 @@
   });
   private readonly pool: WorkerLinkPool;
   private readonly pauseDetector: PauseDetector;
+  private readonly stallDetector: StallDetector;
   private readonly channels = new Set<OwnerChannel>();
   private highestEpoch = 0;
 
   private constructor(private readonly options: RelayServerOptions) {
     this.pool = WorkerLinkPool.create(options.links, options.clock);
     this.pauseDetector = PauseDetector.create(options.clock);
+    this.stallDetector = StallDetector.create({
+      clock: options.clock,
+      limitMilliseconds: STALL_LIMIT_MILLISECONDS,
+      onTurn: () => this.closeAfterPause(),
+    });
     this.addMethods();
   }
 
@@ -63,6 +81,7 @@
   /** Serves a channel that another host has opened. */
   serve(socket: Duplex): void {
     const {logger} = this.options;
+    this.closeAfterPause();
     const channel: OwnerChannel = {
       epoch: 0,
       workers: new Map(),
@@ -73,6 +92,7 @@
         onMessage: message => this.receive(channel, message),
         onClosed: cause => {
           this.channels.delete(channel);
+          if (this.channels.size === 0) this.stallDetector.stop();
           logger.info('relay channel closed', {
             epoch: channel.epoch,
             cause: cause?.message,
@@ -81,6 +101,7 @@
       }),
     };
     this.channels.add(channel);
+    this.stallDetector.start();
   }
 
   close(): void {
@@ -89,16 +110,7 @@
   }
 
   private receive(channel: OwnerChannel, message: unknown): void {
-    const pausedMilliseconds = this.pauseDetector.takePause();
-    this.pauseDetector.resetBaseline();
-    if (pausedMilliseconds > 0) {
-      this.options.logger.warn('relay channels closed after a process pause', {
-        channels: this.channels.size,
-        milliseconds: Math.round(pausedMilliseconds),
-      });
-      this.closeChannels();
-      return;
-    }
+    if (this.closeAfterPause()) return;
     if (!isJSONRPCRequest(message)) {
       this.options.logger.warn('relay message malformed', {
         epoch: channel.epoch,
@@ -111,6 +123,22 @@
     });
   }
 
+  /** Closes all channels if this process has not run for too long. */
+  private closeAfterPause(): boolean {
+    const pausedMilliseconds = Math.max(
+      this.pauseDetector.takePause(),
+      this.stallDetector.stalledMilliseconds,
+    );
+    this.pauseDetector.resetBaseline();
+    if (pausedMilliseconds === 0) return false;
+    this.options.logger.warn('relay channels closed after a process pause', {
+      channels: this.channels.size,
+      milliseconds: Math.round(pausedMilliseconds),
+    });
+    this.closeChannels();
+    return true;
+  }
+
   private closeChannels(): void {
     for (const channel of this.channels) channel.stream.close();
   }
--- a/packages/worker-relay/src/relayed_worker_link.ts
+++ b/packages/worker-relay/src/relayed_worker_link.ts
@@ -42,6 +42,10 @@
     return new RelayedWorkerLink(options);
   }
 
+  static get orderTimeoutMilliseconds(): number {
+    return ORDER_TIMEOUT_MILLISECONDS;
+  }
+
   async start(order: StartOrder): Promise<StartOutcome> {
     const channel = this.options.channel();
     if (!channel) return this.directLink().start(order);
