Poll the workers of restored runs without an entry

What callers saw: after a change of the owner, lasting tasks of a worker that had crashed stayed down until the longest lease had passed, while another worker already answered at its address.

Cause: the answer of another worker proves that the former one has ended, but only workers that the directory lists were polled. The worker's entry had expired before the new owner read the list, and the record of a placed task named the worker's ID and start, not its address. Its runs waited for the longest lease.

Why this works: the progress record of a step now holds the addresses of the workers of its placed tasks. Workers of restored runs that the directory has not listed 1.5 s after the claim get a session from the records. Its description carries the start of the newest incarnation that holds a run, so the answer of another worker ends the runs of that incarnation and earlier ones only. The worker has no service or capacity and counts as not listed, so it gets no new runs; an entry that comes later replaces the description and keeps the runs. The session ends with its last run if the worker does not answer. A worker that does answer keeps its runs, also without an entry; before, their leases expired. The addresses are an optional field, because readers of an earlier version refuse a longer task tuple and ignore unknown fields. Without an address, runs wait for the longest lease as before.

--- a/packages/cell-scheduler/src/record_codec.ts
+++ b/packages/cell-scheduler/src/record_codec.ts
@@ -45,6 +45,7 @@
       gangAttempt: step.gangAttempt,
       gangFailures: step.gangFailures,
       tasks: step.tasks.map(encodeTask),
+      addresses: addressesOf(step),
     };
     return JSON.stringify(progress);
   }
@@ -79,6 +80,7 @@
       task.failures = failures;
       task.workerId = workerId;
       task.workerBornAt = bornAt;
+      task.workerAddress = progress.addresses?.[workerId] ?? '';
       task.checkpoint = checkpoint;
       if (attempt > 0) step.submission.hasStarted = true;
     });
@@ -86,6 +88,22 @@
   }
 }
 
+function addressesOf(step: StepState): Record<string, string> {
+  const newest = new Map<string, TaskState>();
+  for (const task of step.tasks) {
+    if (task.phase !== 'placed') continue;
+    const other = newest.get(task.workerId);
+    if (!other || task.workerBornAt > other.workerBornAt) {
+      newest.set(task.workerId, task);
+    }
+  }
+  const addresses: Record<string, string> = {};
+  for (const [workerId, {workerAddress}] of newest) {
+    if (workerAddress !== '') addresses[workerId] = workerAddress;
+  }
+  return addresses;
+}
+
 function encodeTask(task: TaskState): StepProgress['tasks'][number] {
   const isPlaced = task.phase === 'placed';
   return [
--- a/packages/cell-scheduler/src/step_progress.ts
+++ b/packages/cell-scheduler/src/step_progress.ts
@@ -21,5 +21,11 @@
   gangAttempt: z.number().int(),
   gangFailures: z.number().int(),
   tasks: z.array(TaskProgress),
+  /**
+   * Address of each worker with placed runs, by worker ID, in the newest of its
+   * incarnations that holds one. Missing in records of earlier versions, which
+   * in turn ignore it; they would refuse a longer task tuple.
+   */
+  addresses: z.record(z.string(), z.string()).optional(),
 });
 export type StepProgress = z.infer<typeof StepProgress>;
--- a/packages/cell-scheduler/src/task_state.ts
+++ b/packages/cell-scheduler/src/task_state.ts
@@ -12,6 +12,8 @@
   /** Worker of the placed run, also while that worker is not connected. */
   workerId = '';
   workerBornAt = 0;
+  /** Address of that incarnation; empty when not known. */
+  workerAddress = '';
   /** Worker of the last failed run. */
   lastFailedWorkerId = '';
   /** Monotonic deadline before which the task is not placed again. */
--- a/packages/shard-owner/src/run_tracker.ts
+++ b/packages/shard-owner/src/run_tracker.ts
@@ -61,6 +61,7 @@
     task.run = run;
     task.workerId = worker.id;
     task.workerBornAt = worker.description.bornAtUnixMilliseconds;
+    task.workerAddress = worker.description.address;
     worker.add(run);
     this.markStep(step);
     return run;
@@ -179,6 +180,7 @@
     task.phase = 'waiting';
     task.workerId = '';
     task.workerBornAt = 0;
+    task.workerAddress = '';
     task.notBefore = this.options.clock.monotonicNow() + delayMilliseconds;
   }
 
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -65,6 +65,12 @@
 /** Shortest interval between two log lines about slow passes. */
 const SLOW_PASS_LOG_MILLISECONDS = 500;
 
+/**
+ * Time for the directory's first list. Workers that it lists are polled with
+ * their full descriptions, which name the zone of the relay to use.
+ */
+const FIRST_LIST_MILLISECONDS = 1_500;
+
 /** Safety margin added to the time at which earlier owners' leases expire. */
 const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
 
@@ -95,11 +101,13 @@
   private readonly sessions = new Map<string, WorkerSession>();
   /** Submissions whose record is not durable yet. */
   private readonly admissions = new Map<string, Admission>();
-  /** Restored runs by worker, until the directory lists the worker. */
+  /** Restored runs by worker, until the worker has a session. */
   private readonly orphanedRuns = new Map<string, Run[]>();
   private readonly wakeUp: Notifier;
   private readonly stopping = new AbortController();
   private readonly earlierLeasesEndAt: number;
+  /** Monotonic time from which workers without an entry are polled too. */
+  private readonly unlistedSessionsAt: number;
   private hasChanged = true;
   private passDelayMilliseconds = COALESCE_MILLISECONDS;
   /** Monotonic time of the next check of all sessions. */
@@ -145,6 +153,7 @@
       onChange,
     });
     this.earlierLeasesEndAt = leasesEndAt(options);
+    this.unlistedSessionsAt = clock.monotonicNow() + FIRST_LIST_MILLISECONDS;
     this.restore();
   }
 
@@ -295,9 +304,15 @@
       session.updateDescription(worker);
       return;
     }
+    this.open(WorkerSession.create(this.sessionOptions(worker)));
+  }
+
+  private sessionOptions(
+    description: WorkerDescription,
+  ): Parameters<typeof WorkerSession.create>[0] {
     const {links, clock, logger, metrics, timing} = this.options;
-    const opened = WorkerSession.create({
-      description: worker,
+    return {
+      description,
       links,
       journal: this.journal,
       runs: this.runTracker,
@@ -309,12 +324,35 @@
       stalls: StallPolicy.create(),
       earlierLeasesEndAt: this.earlierLeasesEndAt,
       onChange: () => this.noteChange(),
-    });
-    this.sessions.set(id, opened);
-    this.state.workers.set(id, opened.worker);
-    for (const run of this.orphanedRuns.get(id) ?? []) opened.worker.add(run);
-    this.orphanedRuns.delete(id);
-    void opened.run();
+    };
+  }
+
+  private open(session: WorkerSession): void {
+    const {worker} = session;
+    this.sessions.set(worker.id, session);
+    this.state.workers.set(worker.id, worker);
+    for (const run of this.orphanedRuns.get(worker.id) ?? []) worker.add(run);
+    this.orphanedRuns.delete(worker.id);
+    void session.run();
+  }
+
+  /**
+   * Polls the workers of restored runs that the directory has not listed: one
+   * that still runs keeps its runs, and an answer of another worker proves that
+   * its runs have ended.
+   */
+  private openUnlistedSessions(): void {
+    for (const [id, runs] of [...this.orphanedRuns]) {
+      const description = describeUnlisted(id, runs);
+      if (!description) continue;
+      this.options.logger.warn('worker of restored runs is not listed', {
+        worker: id,
+        address: description.address,
+        runs: runs.length,
+      });
+      const options = this.sessionOptions(description);
+      this.open(WorkerSession.createUnlisted(options));
+    }
   }
 
   private async scheduleLoop(): Promise<void> {
@@ -357,6 +395,7 @@
         this.state.workers.delete(id);
       }
     }
+    if (now >= this.unlistedSessionsAt) this.openUnlistedSessions();
     if (now > this.earlierLeasesEndAt) this.markOrphanedRunsLost();
     if (this.journal.isLogDown()) this.refuseUnsent();
     this.evictEnded(clock.wallNow());
@@ -494,6 +533,33 @@
   );
 }
 
+/**
+ * Describes a worker by the newest of its incarnations that holds one of the
+ * runs. Without a service and capacity it is never chosen for new runs.
+ * Undefined when that incarnation's address is not known.
+ */
+function describeUnlisted(
+  id: string,
+  runs: readonly Run[],
+): WorkerDescription | undefined {
+  const newest = runs
+    .map(({task}) => task)
+    .reduce((a, b) => (b.workerBornAt > a.workerBornAt ? b : a));
+  if (newest.workerAddress === '') return undefined;
+  return {
+    id,
+    service: '',
+    address: newest.workerAddress,
+    availabilityZone: '',
+    state: 'ready',
+    milliCores: 0,
+    memoryMegabytes: 0,
+    accelerators: 0,
+    labels: [],
+    bornAtUnixMilliseconds: newest.workerBornAt,
+  };
+}
+
 function unknownSubmission(id: string): TypedError {
   return NotFoundError.create(`submission ${id} does not exist`);
 }
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -121,6 +121,17 @@
     return new WorkerSession(options);
   }
 
+  /**
+   * Creates the session of a worker that the directory does not list. The
+   * worker gets no new runs until `updateDescription` brings its entry.
+   */
+  static createUnlisted(options: WorkerSessionOptions): WorkerSession {
+    const session = new WorkerSession(options);
+    session.unlistedSince = options.clock.monotonicNow();
+    session.worker.isListed = false;
+    return session;
+  }
+
   /**
    * Applies a new directory entry of the worker. A new address or incarnation
    * needs a new link.
@@ -247,6 +258,12 @@
     );
   }
 
+  /** The address of the incarnation that answered last; empty if not known. */
+  private get currentAddress(): string {
+    const {address, bornAtUnixMilliseconds} = this.worker.description;
+    return bornAtUnixMilliseconds === this.bornAt ? address : '';
+  }
+
   private async poll(now: number): Promise<WorkerReport | undefined> {
     const {journal, logger, metrics} = this.options;
     const mayRenew =
@@ -367,6 +384,7 @@
       if (run.phase === 'recording') continue;
       if (present.get(run.task.name) === run.attempt) {
         run.task.workerBornAt = this.bornAt;
+        run.task.workerAddress = this.currentAddress;
       } else if (isRestart && isStartInDoubt(run)) {
         // The start order may still reach the new incarnation. Stopping the run
         // there withdraws it first.
