--- a/packages/cell-stand-ins/src/lost_worker.test.ts
+++ b/packages/cell-stand-ins/src/lost_worker.test.ts
@@ -4,6 +4,8 @@
 import {createSubmission} from './plain_submission.js';
 import type {SimulatedOwnerHost} from './simulated_owner_host.js';
 
+const SEEDS = Array.from({length: 5}, (_, index) => index + 1);
+
 /**
  * A lasting task must run again within this time after its last run ended,
  * while there is capacity for it and the cell is calm.
@@ -59,6 +61,23 @@
   return gap;
 }
 
+// Guards against lasting tasks that stay down after the owner changed: the next
+// owner's directory no longer lists their worker, so it never calls the address
+// and does not learn that another worker answers there.
+it('restarts tasks of a replaced worker that is no longer listed', async () => {
+  for (const seed of SEEDS) {
+    const gap = await measureGap(seed, ({harness, first, crashing}, time) => {
+      if (time === 0) {
+        crashing.replace(harness.virtualClock.monotonicNow() + 4_500);
+      }
+      if (time === 3_000) crashing.isListed = false;
+      if (time === 3_100) first.kill();
+      if (time === 3_500) void harness.addHost('second').claim(1);
+    });
+    expect(gap).toBeLessThanOrEqual(MAXIMUM_GAP_MILLISECONDS);
+  }
+});
+
 /** On this seed the worker's clock is slow and the owner has nothing to do. */
 const LATE_CHECK_SEED = 25;
 
