Wait for two answers of the advice service before preempting

What callers saw: post-check, the most urgent class, was served late in its own burst at size.

Why this works: the wait is two answers of the step's own service, beside the wait before.

--- a/packages/cell-scheduler/src/preemption_policy.ts
+++ b/packages/cell-scheduler/src/preemption_policy.ts
@@ -16,10 +16,13 @@
 const MINIMUM_WAIT_MILLISECONDS = 120;
 
 /**
- * A task waits this long instead while the advice service is asked about
- * workers with capacity: about two answers of a slow service.
+ * While the advice service is asked about workers with capacity, a task also
+ * waits for as many of its answers.
  */
-const ADVICE_MINIMUM_WAIT_MILLISECONDS = 1_500;
+const AWAITED_ANSWERS = 2;
+
+/** Workers that a query names if the task needs no more. */
+const USUALLY_NAMED_WORKERS = 10;
 
 /** Capacity freed by preemption is reserved for the step this long. */
 const RESERVATION_MILLISECONDS = 2_500;
@@ -126,10 +129,15 @@
 }
 
 function minimumWaitMilliseconds(step: StepState): number {
-  if (step.advice.awaitsCapacity) return ADVICE_MINIMUM_WAIT_MILLISECONDS;
-  return step.specification.isService
+  const minimum = step.specification.isService
     ? SERVICE_MINIMUM_WAIT_MILLISECONDS
     : MINIMUM_WAIT_MILLISECONDS;
+  const {advice} = step.submission.queue;
+  if (!advice || !step.advice.awaitsCapacity) return minimum;
+  const answer =
+    advice.decisionMilliseconds +
+    advice.perWorkerMilliseconds * USUALLY_NAMED_WORKERS;
+  return minimum + AWAITED_ANSWERS * answer;
 }
 
 /** Number of workers whose capacity is being freed for the step. */
