Name workers with capacity where naming them is cheap

What callers saw: at size, post-check, the most urgent class, was served late in its own burst.

Why this works: where the service is fast, the choice of workers is the former one; the exact choice stays where naming is expensive.

--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -78,21 +78,10 @@
     if (advice.isQueryInFlight || advice.notBefore > now) return undefined;
     advice.notBefore = now + RECHECK_MILLISECONDS;
     advice.awaitsCapacity = false;
-    const counts = step.countByWorker();
-    const candidates = workers.filter(
-      worker =>
-        this.isQueryable(step, worker) &&
-        placesLeft(step, counts.get(worker.id) ?? 0) > 0,
-    );
-    // A worker counts as usable only if the step could be placed there now.
-    // Otherwise workers that the step cannot use would take the place of
-    // approved ones with capacity in every query.
-    const usable: UsableWorker[] = [];
-    for (const worker of candidates) {
-      const count = counts.get(worker.id) ?? 0;
-      const fits = this.usableFits(step, waiting, worker, count, now);
-      if (fits > 0) usable.push({worker, fits});
-    }
+    const candidates = workers.filter(worker => this.isQueryable(step, worker));
+    const usable = isCheapToName(step)
+      ? this.workersWithCapacity(step, candidates, now)
+      : this.usableWorkers(step, waiting, candidates, now);
     const isFirstQuery = advice.queriedWorkers.size === 0;
     const isUseful = usable.some(
       ({worker}) => !this.hasTicket(step, worker, now),
@@ -106,16 +95,12 @@
     const named = selected.map(({worker}) => worker);
     if (named.length === usable.length) {
       const alreadyNamed = new Set(named);
-      const others = candidates.filter(worker => !alreadyNamed.has(worker));
-      const missing = Math.max(0, minimumNamedWorkers(step) - named.length);
-      named.push(
-        ...others.slice(
-          0,
-          isEnough
-            ? Math.min(missing, NAMED_WORKERS_NOT_USABLE)
-            : NAMED_WORKERS_NOT_USABLE,
-        ),
+      const others = candidates.filter(
+        worker => !alreadyNamed.has(worker) && this.hasPlaces(step, worker),
       );
+      const missing = Math.max(0, minimumNamedWorkers(step) - named.length);
+      const limit = isEnough && !isCheapToName(step) ? missing : Infinity;
+      named.push(...others.slice(0, Math.min(limit, NAMED_WORKERS_NOT_USABLE)));
     }
     if (named.length === 0) return undefined;
     advice.awaitsCapacity = isEnough;
@@ -126,6 +111,52 @@
     };
   }
 
+  /**
+   * Workers with capacity for a step, whether or not the step could be placed
+   * there now: where naming is cheap, more approvals are worth more than an
+   * exact choice, for the step may preempt other runs on approved workers.
+   */
+  private workersWithCapacity(
+    step: StepState,
+    candidates: WorkerState[],
+    now: number,
+  ): UsableWorker[] {
+    const usable: UsableWorker[] = [];
+    for (const worker of candidates) {
+      if (!worker.isUsable) continue;
+      const fits = this.choice.fitCount(step, worker);
+      if (fits > 0 || isReservedFor(step, worker, now)) {
+        usable.push({worker, fits});
+      }
+    }
+    return usable;
+  }
+
+  /**
+   * Workers on which the step could be placed now. Others would take the place
+   * of approved ones with capacity in every query.
+   */
+  private usableWorkers(
+    step: StepState,
+    waiting: TaskState[],
+    candidates: WorkerState[],
+    now: number,
+  ): UsableWorker[] {
+    const counts = step.countByWorker();
+    const usable: UsableWorker[] = [];
+    for (const worker of candidates) {
+      const count = counts.get(worker.id) ?? 0;
+      const fits = this.usableFits(step, waiting, worker, count, now);
+      if (fits > 0) usable.push({worker, fits});
+    }
+    return usable;
+  }
+
+  /** True when the step's limit per worker allows another task there. */
+  private hasPlaces(step: StepState, worker: WorkerState): boolean {
+    return isCheapToName(step) || placesLeft(step, step.countOn(worker.id)) > 0;
+  }
+
   /** True when advice should be queried for a step that waits for others. */
   shouldQueryAhead(step: StepState, now: number): boolean {
     if (step.advice.queriedWorkers.size > 0) return false;
@@ -171,7 +202,7 @@
     step: StepState,
     usable: UsableWorker[],
   ): UsableWorker[] {
-    if (minimumNamedWorkers(step) > MINIMUM_NAMED_WORKERS) {
+    if (isCheapToName(step)) {
       const start = hash(step.name) % Math.max(1, usable.length);
       return [...usable.slice(start), ...usable.slice(0, start)];
     }
@@ -244,10 +275,8 @@
     now: number,
   ): number {
     // Capacity that is reserved for the step may still have to be freed.
-    const isReserved =
-      worker.reservedFor === step && worker.reservedUntil > now;
     const fits = Math.max(
-      isReserved ? 1 : 0,
+      isReservedFor(step, worker, now) ? 1 : 0,
       this.choice.fitCount(step, worker),
     );
     if (fits === 0 || !this.choice.isOpenTo(step, worker, now)) return 0;
@@ -274,6 +303,19 @@
   return step.advice.isApproved(worker) ? 1 : APPROVED_SHARE;
 }
 
+function isReservedFor(
+  step: StepState,
+  worker: WorkerState,
+  now: number,
+): boolean {
+  return worker.reservedFor === step && worker.reservedUntil > now;
+}
+
+/** True where naming a worker adds next to nothing to the response time. */
+function isCheapToName(step: StepState): boolean {
+  return minimumNamedWorkers(step) > MINIMUM_NAMED_WORKERS;
+}
+
 /** Number of further tasks that the step's limit per worker allows. */
 function placesLeft(step: StepState, count: number): number {
   return (step.specification.maximumPerWorker || Infinity) - count;
