Log what the owner knew when it gave a run up

On-call engineers could not tell from the logs why a task had started on a second worker: `run lost` named a reason but not what it rested on, nobody logged that a worker still ran a run which its owner had given up, and the removal of an entry and the end of a session left no line.

`run lost` now holds the worker's state, whether it is listed and reachable, how long it has been silent, when the granted lease ends and its incarnation, and is a warning if no answer of the worker proves the end. `worker runs an unknown run`, `worker entry removed` and `worker session ended` are new, and the metric `runs_gone` has the label `reason`.

--- a/packages/shard-owner/src/run_tracker.ts
+++ b/packages/shard-owner/src/run_tracker.ts
@@ -12,6 +12,7 @@
 import type {Clock} from '@cardamomfield/clock';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
+import type {RunEvidence} from './run_evidence.js';
 import type {ShardJournal} from './shard_journal.js';
 
 /** Delay before a task is placed again after a run that did not complete it. */
@@ -29,6 +30,8 @@
   clock: Clock;
   logger: Logger;
   metrics: Metrics;
+  /** What is known about the worker of a run; undefined without a session. */
+  evidenceOf: (run: Run) => RunEvidence | undefined;
   /** Called for a run that must be stopped on its worker. */
   onStop: (run: Run) => void;
   /** Called when free capacity or the set of waiting tasks changed. */
@@ -101,13 +104,7 @@
     const isCurrent = task.run === run;
     this.release(run);
     if (!isCurrent || task.phase === 'done') return;
-    this.options.metrics.increment('runs_gone');
-    this.options.logger.info('run lost', {
-      task: task.name,
-      attempt: run.attempt,
-      worker: run.workerId,
-      reason,
-    });
+    this.logLoss(run, reason);
     this.requeue(task, delayMilliseconds);
     this.markStep(step);
     if (step.specification.isGang) this.stopRuns(step);
@@ -159,6 +156,22 @@
     this.options.onChange();
   }
 
+  /** A warning if no answer of the worker itself proves the end of the run. */
+  private logLoss(run: Run, reason: string): void {
+    const {logger, metrics} = this.options;
+    metrics.increment('runs_gone', 1, {reason});
+    const evidence = this.options.evidenceOf(run);
+    const fields = {
+      task: run.task.name,
+      attempt: run.attempt,
+      worker: run.workerId,
+      reason,
+      ...evidence,
+    };
+    if (evidence?.isReachable) logger.info('run lost', fields);
+    else logger.warn('run lost', fields);
+  }
+
   private nextAttempt(step: StepState, task: TaskState): number {
     if (!step.specification.isGang) return task.attempt + 1;
     // All members of a gang share one attempt number. The first member that is
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -138,6 +138,7 @@
       clock,
       logger,
       metrics,
+      evidenceOf: run => this.sessions.get(run.workerId)?.evidence(),
       onStop: run => this.stopRun(run),
       onChange,
     });
@@ -399,6 +400,10 @@
       }
       session.evacuate(now);
       if (session.hasEnded) {
+        this.options.logger.info('worker session ended', {
+          worker: id,
+          ...session.evidence(),
+        });
         session.stop();
         this.sessions.delete(id);
         this.state.workers.delete(id);
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -19,6 +19,7 @@
 import {endsSoon} from './ends_soon.js';
 import {isFromOtherWorker} from './is_from_other_worker.js';
 import type {LastPoll} from './last_poll.js';
+import type {RunEvidence} from './run_evidence.js';
 import type {RunTracker} from './run_tracker.js';
 import {RunOrders} from './run_orders.js';
 import type {ShardJournal} from './shard_journal.js';
@@ -96,11 +97,16 @@
   /** Monotonic time since which the directory does not list the worker. */
   private unlistedSince: number | undefined;
   private hasUnknownRuns = false;
+  /** Unknown runs that the last report listed, by task and attempt. */
+  private unknownRuns = new Set<string>();
+  /** Monotonic time of the last report, at first of the session's start. */
+  private reportedAt: number;
   /** Number of process pauses before the last poll that was answered. */
   private pausesAtReport = 0;
   private lastPoll: LastPoll = {sentAt: -Infinity, running: new Set()};
 
   private constructor(private readonly options: WorkerSessionOptions) {
+    this.reportedAt = options.clock.monotonicNow();
     this.worker = WorkerState.create(options.description);
     this.link = options.links.open(options.description);
     this.wakeUp = Notifier.create(options.clock);
@@ -180,7 +186,15 @@
    * that is not reachable has left, and all of its runs have ended.
    */
   handleRemoval(): void {
-    this.unlistedSince ??= this.options.clock.monotonicNow();
+    const {clock, logger} = this.options;
+    if (this.unlistedSince === undefined) {
+      this.unlistedSince = clock.monotonicNow();
+      logger.info('worker entry removed', {
+        worker: this.worker.id,
+        runs: this.worker.runs.size,
+        ...this.evidence(),
+      });
+    }
     if (this.worker.description.state !== 'draining') return;
     if (this.isReachable) return;
     for (const run of [...this.worker.runs.values()]) {
@@ -235,6 +249,22 @@
     this.orders.stop(run);
   }
 
+  /** What is known about the worker now, for the log. */
+  evidence(): RunEvidence {
+    const now = this.options.clock.monotonicNow();
+    const {expireAt} = this.leases;
+    return {
+      workerState: this.worker.description.state,
+      isListed: this.worker.isListed,
+      isReachable: this.isReachable,
+      silentMilliseconds: Math.round(now - this.reportedAt),
+      leaseEndsInMilliseconds: Number.isFinite(expireAt)
+        ? Math.round(expireAt - now)
+        : undefined,
+      workerBornAt: this.bornAt,
+    };
+  }
+
   stop(): void {
     this.isStopped = true;
     this.worker.isUsable = false;
@@ -336,6 +366,7 @@
   private async apply(report: WorkerReport, sentAt: number): Promise<void> {
     const now = this.options.clock.monotonicNow();
     if (report.bornAtUnixMilliseconds !== this.bornAt) this.resetState(report);
+    this.reportedAt = now;
     this.leases.observe(report.clock, now);
     this.lastPoll = {
       sentAt,
@@ -406,7 +437,7 @@
 
   private syncRunning(report: WorkerReport, sentAt: number, now: number): void {
     const listed = new Set<string>();
-    this.hasUnknownRuns = false;
+    const unknown = new Set<string>();
     for (const row of report.running) {
       const run = this.worker.runs.get(row.taskName);
       if (run && run.attempt === row.attempt) {
@@ -416,7 +447,8 @@
         // ended before its worker was polled.
         if (run.step.submission.ending) this.orders.stop(run);
       } else {
-        this.hasUnknownRuns = true;
+        unknown.add(`${row.taskName} ${row.attempt}`);
+        this.logUnknownRun(row);
         void this.link.stop(
           row.taskName,
           row.attempt,
@@ -424,6 +456,8 @@
         );
       }
     }
+    this.unknownRuns = unknown;
+    this.hasUnknownRuns = unknown.size > 0;
     for (const run of [...this.worker.runs.values()]) {
       if (listed.has(run.task.name) || run.phase === 'recording') continue;
       if (run.phase === 'running' && (run.runningSince ?? now) < sentAt) {
@@ -432,6 +466,16 @@
     }
   }
 
+  /** Logs a run that the worker lists and the owner does not track, once. */
+  private logUnknownRun({taskName, attempt}: RunningTask): void {
+    if (this.unknownRuns.has(`${taskName} ${attempt}`)) return;
+    this.options.logger.warn('worker runs an unknown run', {
+      task: taskName,
+      attempt,
+      worker: this.worker.id,
+    });
+  }
+
   private updateRun(run: Run, row: RunningTask, now: number): void {
     if (run.phase === 'ordering') confirmStart(run, now);
     if (row.progressPercent !== run.progressPercent) run.progressedAt = now;
