Let simulated workers drain and take time to kill their runs

Callers saw a task run on two workers at once. The in-memory workers could not show it: they never drained, and ended their runs to the millisecond with the lease. They now drain, need up to the stop time of the site to kill a run, and may notice the end of a lease late. The ledger checks a start against the time at which a run really ends, not against the last time the worker was read. The simulated directory reports each removal once, as the platform's does.

--- a/packages/cell-stand-ins/src/cell_harness.ts
+++ b/packages/cell-stand-ins/src/cell_harness.ts
@@ -44,15 +44,17 @@
 
   addWorker(id: string): void {
     const {milliCores, overrides} = this.options;
-    const worker = MemoryCellWorker.create(
+    const worker = MemoryCellWorker.create({
       id,
-      milliCores ?? 9_000,
-      this.virtualClock,
-      this.random,
-      this.ledger,
-      () => 1,
-      overrides?.longestLeaseMilliseconds,
-    );
+      milliCores: milliCores ?? 9_000,
+      virtualClock: this.virtualClock,
+      random: this.random,
+      ledger: this.ledger,
+      demand: () => 1,
+      longestLeaseMilliseconds: overrides?.longestLeaseMilliseconds,
+      killMilliseconds: overrides?.stopMilliseconds,
+      timerLatenessMilliseconds: overrides?.timerLatenessMilliseconds,
+    });
     this.workers.set(id, worker);
   }
 
--- a/packages/cell-stand-ins/src/host_overrides.ts
+++ b/packages/cell-stand-ins/src/host_overrides.ts
@@ -8,6 +8,13 @@
   wrapLog?: (log: ShardLog) => ShardLog;
   /** Longest lease of the workers, if it differs from the one owners assume. */
   longestLeaseMilliseconds?: number;
+  /**
+   * Longest time that a stop takes. The workers need up to this time to kill a
+   * run that is stopped or has no lease any more; without it, runs end at once.
+   */
+  stopMilliseconds?: number;
+  /** Longest time by which a worker notices the end of its lease late. */
+  timerLatenessMilliseconds?: number;
   /** Whether calls may leave after their time limit, as they must not. */
   sendsOverdueCalls?: boolean;
   wrapLink?: (link: WorkerLink) => WorkerLink;
--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -6,14 +6,44 @@
   WorkerDescription,
   WorkerReport,
 } from '@cardamomfield/cell-model';
-import type {ManualClock, RandomSource} from '@cardamomfield/clock';
+import {
+  type ManualClock,
+  type RandomSource,
+  SeededRandomSource,
+} from '@cardamomfield/clock';
 import type {RunLedger} from './run_ledger.js';
 
+interface RunEnding {
+  at: number;
+  kind: RunEnd['kind'];
+}
+
 interface WorkerRun {
   attempt: number;
   startedAt: number;
   endsAt: number;
   kind: 'done' | 'failed';
+  /** How long it takes to kill the run. */
+  killMilliseconds: number;
+  /** The end of a run that is being killed. */
+  killed: RunEnding | undefined;
+  /** True once the worker's lease has lapsed since the run started. */
+  hasLapsed: boolean;
+}
+
+interface MemoryCellWorkerOptions {
+  id: string;
+  milliCores: number;
+  virtualClock: ManualClock;
+  random: RandomSource;
+  ledger: RunLedger;
+  /** Processor demand of a task. */
+  demand: (taskName: string) => number;
+  longestLeaseMilliseconds?: number;
+  /** Longest time until a run has ended that is stopped or has no lease. */
+  killMilliseconds?: number;
+  /** Longest time by which the worker notices the end of its lease late. */
+  timerLatenessMilliseconds?: number;
 }
 
 /** Lowest rate of a worker's clock relative to virtual time. */
@@ -30,6 +60,11 @@
 
 const LONGEST_LEASE_MILLISECONDS = 10_000;
 
+/** Share of the kills that take the longest time. */
+const SLOW_KILL_SHARE = 0.5;
+
+const SEED_RANGE = 2 ** 30;
+
 /**
  * In-memory worker that follows the platform's rules for fencing tokens,
  * leases and the list of ended runs.
@@ -38,6 +73,7 @@
   isUp = true;
   /** Whether the directory lists the worker. */
   isListed = true;
+  isDraining = false;
   /** True once another worker answers at this worker's address. */
   isReplaced = false;
   /** True while the directory still has the entry of a worker that crashed. */
@@ -50,46 +86,40 @@
   private ends: RunEnd[] = [];
   private endCount = 0;
   /**
-   * Ends up to this number were not acknowledged before the lease lapsed.
+   * Numbers of the ends that were not acknowledged before the lease lapsed.
    * Acknowledging one of them no longer rules out a new run of its task.
    */
-  private voidedUpTo = 0;
+  private voidedEnds = new Set<number>();
   /** Highest attempt that ended or was stopped on this worker, by task. */
   private endedAttempts = new Map<string, number>();
   private readonly rate: number;
+  private readonly killMilliseconds: number;
+  private readonly timerLatenessMilliseconds: number;
+  /** A source of its own, so that other draws don't depend on kill times. */
+  private readonly killRandom: RandomSource | undefined;
+  /** Time by which the worker notices the end of the current lease late. */
+  private latenessMilliseconds = 0;
 
-  private constructor(
-    readonly id: string,
-    private readonly milliCores: number,
-    private readonly virtualClock: ManualClock,
-    private readonly random: RandomSource,
-    private readonly ledger: RunLedger,
-    private readonly demand: (taskName: string) => number,
-    private readonly longestLeaseMilliseconds: number,
-  ) {
+  private constructor(private readonly options: MemoryCellWorkerOptions) {
+    const {random, virtualClock, ledger, id} = options;
     this.rate = SLOWEST_RATE + random.fraction() * (1 - SLOWEST_RATE);
     this.bornAt = virtualClock.wallNow();
     this.startedAt = virtualClock.monotonicNow();
+    this.killMilliseconds = options.killMilliseconds ?? 0;
+    this.timerLatenessMilliseconds = options.timerLatenessMilliseconds ?? 0;
+    if (this.killMilliseconds + this.timerLatenessMilliseconds > 0) {
+      const seed = random.integerBelow(SEED_RANGE);
+      this.killRandom = SeededRandomSource.create(seed);
+    }
+    ledger.addWorker(id, taskName => this.isRunning(taskName));
   }
 
-  static create(
-    id: string,
-    milliCores: number,
-    virtualClock: ManualClock,
-    random: RandomSource,
-    ledger: RunLedger,
-    demand: (taskName: string) => number,
-    longestLeaseMilliseconds: number = LONGEST_LEASE_MILLISECONDS,
-  ): MemoryCellWorker {
-    return new MemoryCellWorker(
-      id,
-      milliCores,
-      virtualClock,
-      random,
-      ledger,
-      demand,
-      longestLeaseMilliseconds,
-    );
+  static create(options: MemoryCellWorkerOptions): MemoryCellWorker {
+    return new MemoryCellWorker(options);
+  }
+
+  get id(): string {
+    return this.options.id;
   }
 
   describe(): WorkerDescription {
@@ -98,8 +128,8 @@
       service: 'service',
       address: `${this.id}:1`,
       availabilityZone: 'zone',
-      state: 'ready',
-      milliCores: this.milliCores,
+      state: this.isDraining ? 'draining' : 'ready',
+      milliCores: this.options.milliCores,
       memoryMegabytes: 1_000_000,
       accelerators: 0,
       labels: [],
@@ -113,11 +143,11 @@
   /** Restarts the worker under the same ID with all of its state lost. */
   restart(): void {
     this.loseState();
-    this.bornAt = this.virtualClock.wallNow();
-    this.startedAt = this.virtualClock.monotonicNow();
+    this.bornAt = this.options.virtualClock.wallNow();
+    this.startedAt = this.options.virtualClock.monotonicNow();
     this.isUp = false;
     const {incarnation} = this;
-    void this.virtualClock
+    void this.options.virtualClock
       .sleepUntil(this.startedAt + RESTART_MILLISECONDS)
       .then(() => {
         if (incarnation === this.incarnation) this.isUp = true;
@@ -132,7 +162,7 @@
     this.loseState();
     this.isUp = false;
     this.isEntryRetained = true;
-    void this.virtualClock.sleepUntil(replacedAt).then(() => {
+    void this.options.virtualClock.sleepUntil(replacedAt).then(() => {
       this.isUp = true;
       this.isReplaced = true;
     });
@@ -152,14 +182,17 @@
     if (order.leaseEndWorkerMilliseconds <= clock) {
       return refused('late', clock);
     }
-    const now = this.virtualClock.monotonicNow();
+    const now = this.options.virtualClock.monotonicNow();
     this.runs.set(order.taskName, {
       attempt: order.attempt,
       startedAt: now,
-      endsAt: now + this.random.integerBelow(this.longestRun()),
-      kind: this.random.fraction() < FAILURE_SHARE ? 'failed' : 'done',
+      endsAt: now + this.options.random.integerBelow(this.longestRun()),
+      kind: this.options.random.fraction() < FAILURE_SHARE ? 'failed' : 'done',
+      killMilliseconds: this.drawKillMilliseconds(),
+      killed: undefined,
+      hasLapsed: false,
     });
-    this.ledger.recordStart(order.taskName, this.id);
+    this.options.ledger.recordStart(order.taskName, this.id);
     this.checkCapacity();
     return {kind: 'started', clock};
   }
@@ -169,7 +202,13 @@
     if (fencingToken < this.highestFencingToken) return false;
     this.highestFencingToken = fencingToken;
     const run = this.runs.get(taskName);
-    if (run && run.attempt <= attempt) this.endRun(taskName, run, 'stopped');
+    if (run && run.attempt <= attempt) {
+      run.killed ??= {
+        at: this.options.virtualClock.monotonicNow() + run.killMilliseconds,
+        kind: 'stopped',
+      };
+      this.settle();
+    }
     const ended = this.endedAttempts.get(taskName) ?? 0;
     this.endedAttempts.set(taskName, Math.max(ended, attempt));
     return true;
@@ -184,9 +223,9 @@
     }
     for (const end of this.ends) {
       const isAcknowledged = end.number <= order.acknowledgedEnd;
-      const isBinding = end.number > this.voidedUpTo;
+      const isBinding = !this.voidedEnds.has(end.number);
       if (isAcknowledged && isBinding && end.kind === 'done') {
-        this.ledger.recordDone(end.taskName);
+        this.options.ledger.recordDone(end.taskName);
       }
     }
     this.ends = this.ends.filter(end => end.number > order.acknowledgedEnd);
@@ -201,34 +240,65 @@
 
   /** Ends the runs that are complete or whose lease has lapsed. */
   settle(): void {
-    const now = this.virtualClock.monotonicNow();
-    const leaseEndsAt = this.startedAt + this.leaseEnd / this.rate;
-    // After the lease has lapsed, these tasks may be started elsewhere, so a
-    // later acknowledgement of their ends does not count.
-    if (leaseEndsAt <= now) this.voidedUpTo = this.endCount + this.runs.size;
+    const now = this.options.virtualClock.monotonicNow();
+    if (this.lapsesAt <= now) this.lapse();
     for (const [name, run] of [...this.runs]) {
-      if (run.endsAt <= Math.min(now, leaseEndsAt)) {
-        this.endRun(name, run, run.kind);
-      } else if (leaseEndsAt <= now) {
-        this.endRun(name, run, 'lapsed');
-      }
+      const {at, kind} = this.endOf(run);
+      if (at <= now) this.endRun(name, run, kind);
+    }
+  }
+
+  /** The time at which the worker notices that its lease has ended. */
+  private get lapsesAt(): number {
+    return (
+      this.startedAt + this.leaseEnd / this.rate + this.latenessMilliseconds
+    );
+  }
+
+  /**
+   * Begins to kill what runs. These tasks may be started elsewhere, so a later
+   * acknowledgement of their ends does not count.
+   */
+  private lapse(): void {
+    for (const end of this.ends) this.voidedEnds.add(end.number);
+    for (const run of this.runs.values()) {
+      if (run.endsAt > this.lapsesAt) run.killed ??= this.endOf(run);
+      run.hasLapsed = true;
     }
   }
 
+  /** When and how a run ends if the lease is not renewed. */
+  private endOf(run: WorkerRun): RunEnding {
+    if (run.killed) return run.killed;
+    const {lapsesAt} = this;
+    return run.endsAt <= lapsesAt
+      ? {at: run.endsAt, kind: run.kind}
+      : {at: lapsesAt + run.killMilliseconds, kind: 'lapsed'};
+  }
+
+  /** Whether a task is still at work, also if its end is recorded later. */
+  private isRunning(taskName: string): boolean {
+    const run = this.runs.get(taskName);
+    const now = this.options.virtualClock.monotonicNow();
+    return run !== undefined && this.endOf(run).at > now;
+  }
+
   private loseState(): void {
-    for (const name of this.runs.keys()) this.ledger.recordEnd(name, this.id);
+    for (const name of this.runs.keys()) {
+      this.options.ledger.recordEnd(name, this.id);
+    }
     this.incarnation++;
     this.runs = new Map();
     this.ends = [];
     this.endCount = 0;
-    this.voidedUpTo = 0;
+    this.voidedEnds = new Set();
     this.endedAttempts = new Map();
     this.highestFencingToken = 0;
     this.leaseEnd = 0;
   }
 
   private longestRun(): number {
-    return this.random.fraction() < LONG_RUN_SHARE
+    return this.options.random.fraction() < LONG_RUN_SHARE
       ? MAXIMUM_LONG_RUN_MILLISECONDS
       : MAXIMUM_SHORT_RUN_MILLISECONDS;
   }
@@ -250,10 +320,11 @@
 
   private endRun(name: string, run: WorkerRun, kind: RunEnd['kind']): void {
     this.runs.delete(name);
-    this.ledger.recordEnd(name, this.id);
+    this.options.ledger.recordEnd(name, this.id);
     const ended = this.endedAttempts.get(name) ?? 0;
     this.endedAttempts.set(name, Math.max(ended, run.attempt));
     this.endCount++;
+    if (run.hasLapsed) this.voidedEnds.add(this.endCount);
     this.ends.push({
       number: this.endCount,
       taskName: name,
@@ -265,20 +336,38 @@
 
   private clock(): number {
     return Math.floor(
-      (this.virtualClock.monotonicNow() - this.startedAt) * this.rate,
+      (this.options.virtualClock.monotonicNow() - this.startedAt) * this.rate,
     );
   }
 
   private extendLease(leaseEnd: number): void {
-    const longest = this.clock() + this.longestLeaseMilliseconds;
-    this.leaseEnd = Math.max(this.leaseEnd, Math.min(leaseEnd, longest));
+    const {longestLeaseMilliseconds = LONGEST_LEASE_MILLISECONDS} =
+      this.options;
+    const longest = this.clock() + longestLeaseMilliseconds;
+    const extended = Math.min(leaseEnd, longest);
+    if (extended <= this.leaseEnd) return;
+    this.leaseEnd = extended;
+    this.latenessMilliseconds =
+      this.timerLatenessMilliseconds * (this.killRandom?.fraction() ?? 0);
+  }
+
+  private drawKillMilliseconds(): number {
+    if (!this.killRandom) return 0;
+    const isSlow = this.killRandom.fraction() < SLOW_KILL_SHARE;
+    return isSlow
+      ? this.killMilliseconds
+      : this.killMilliseconds * this.killRandom.fraction();
   }
 
   private checkCapacity(): void {
     let used = 0;
-    for (const name of this.runs.keys()) used += this.demand(name);
-    if (used > this.milliCores) {
-      this.ledger.recordOverCommitment(this.id, used, this.milliCores);
+    for (const name of this.runs.keys()) used += this.options.demand(name);
+    if (used > this.options.milliCores) {
+      this.options.ledger.recordOverCommitment(
+        this.id,
+        used,
+        this.options.milliCores,
+      );
     }
   }
 }
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -56,15 +56,17 @@
       const id = `worker-${index}`;
       this.workers.set(
         id,
-        MemoryCellWorker.create(
+        MemoryCellWorker.create({
           id,
-          WORKER_MILLICORES,
-          this.virtualClock,
-          this.random,
-          this.ledger,
-          () => createSubmission().milliCores,
-          overrides.longestLeaseMilliseconds,
-        ),
+          milliCores: WORKER_MILLICORES,
+          virtualClock: this.virtualClock,
+          random: this.random,
+          ledger: this.ledger,
+          demand: () => createSubmission().milliCores,
+          longestLeaseMilliseconds: overrides.longestLeaseMilliseconds,
+          killMilliseconds: overrides.stopMilliseconds,
+          timerLatenessMilliseconds: overrides.timerLatenessMilliseconds,
+        }),
       );
     }
     for (let index = 0; index < HOST_COUNT; index++) {
--- a/packages/cell-stand-ins/src/run_ledger.ts
+++ b/packages/cell-stand-ins/src/run_ledger.ts
@@ -5,6 +5,8 @@
   private readonly running = new Map<string, Set<string>>();
   /** Tasks whose successful end was acknowledged by an owner. */
   private readonly done = new Set<string>();
+  /** Checks of whether a task runs on a worker right now, by worker. */
+  private readonly checks = new Map<string, (taskName: string) => boolean>();
 
   private constructor() {}
 
@@ -12,12 +14,26 @@
     return new RunLedger();
   }
 
+  /**
+   * Adds a worker that records the ends of its runs late. A start is checked
+   * against the runs that the worker then still has.
+   */
+  addWorker(
+    workerName: string,
+    isRunning: (taskName: string) => boolean,
+  ): void {
+    this.checks.set(workerName, isRunning);
+  }
+
   /** Records that a worker started a run. */
   recordStart(taskName: string, workerName: string): void {
     const others = this.running.get(taskName) ?? new Set<string>();
-    if (others.size > 0) {
+    const current = [...others].filter(
+      name => this.checks.get(name)?.(taskName) ?? true,
+    );
+    if (current.length > 0) {
       this.violations.push(
-        `${taskName} started on ${workerName} while it runs on ${[...others].join()}`,
+        `${taskName} started on ${workerName} while it runs on ${current.join()}`,
       );
     }
     if (this.done.has(taskName)) {
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -60,7 +60,7 @@
   /** Claims the shard with the epoch that follows the given one. */
   async claim(epoch: number): Promise<void> {
     const {name, random} = this.options;
-    const {adviser} = this.options.overrides;
+    const {adviser, stopMilliseconds} = this.options.overrides;
     if (this.owner || this.isClaiming) return;
     this.isClaiming = true;
     const incarnation = ++this.incarnation;
@@ -91,7 +91,7 @@
       clock: this.clock,
       logger: SilentLogger.create(),
       metrics: MemoryMetrics.create(),
-      timing: TIMING,
+      timing: {...TIMING, ...(stopMilliseconds && {stopMilliseconds})},
       onLost: () => {
         if (this.owner === owner) this.owner = undefined;
       },
@@ -144,11 +144,14 @@
   ): Promise<void> {
     const delay = this.options.random.integerBelow(FIRST_LIST_MILLISECONDS);
     await this.clock.sleepUntil(this.clock.monotonicNow() + delay, signal);
+    const present = new Set<string>();
     while (!signal.aborted) {
       for (const [id, worker] of this.options.workers) {
-        if (!worker.isListed) onChange(id, undefined);
-        else if (worker.isUp || worker.isEntryRetained) {
+        if (worker.isListed && (worker.isUp || worker.isEntryRetained)) {
+          present.add(id);
           onChange(id, worker.describe());
+        } else if (!worker.isListed && present.delete(id)) {
+          onChange(id, undefined);
         }
       }
       await this.clock.sleepUntil(
