Keep the leases of a session that has ended

Callers would see a task run on two workers at once.

The session with a worker that is missing from the directory and does not answer ends as soon as it tracks no run there. The leases that it had granted, up to 8 s in an outage of the log, were forgotten with it, while a lease never shortens on its worker. If the worker came back, got runs and was cut off, the next session gave them up when its own leases of 5 s were over.

The owner now keeps the time at which the leases of an ended session expire, and the next session with that worker starts from it.

--- a/packages/cell-stand-ins/src/reopened_session.test.ts
+++ b/packages/cell-stand-ins/src/reopened_session.test.ts
@@ -118,6 +118,6 @@
 
 // Guards against two runs of a task: the session that ended had granted a longer
 // lease in an outage of the log, which the next session did not know.
-it.fails('waits for longer leases of a session that ended', async () => {
+it('waits for longer leases of a session that ended', async () => {
   expect(await findAll(true, true)).toEqual([]);
 });
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -101,6 +101,11 @@
   private readonly sessions = new Map<string, WorkerSession>();
   /** Submissions whose record is not durable yet. */
   private readonly admissions = new Map<string, Admission>();
+  /**
+   * Monotonic time by which the leases that an ended session granted have
+   * expired, by worker. A lease never shortens, so the next session must know.
+   */
+  private readonly endedLeases = new Map<string, number>();
   /** Restored runs by worker, until the worker has a session. */
   private readonly orphanedRuns = new Map<string, Run[]>();
   private readonly wakeUp: Notifier;
@@ -325,7 +330,10 @@
       timing,
       pacing: PacingPolicy.create(),
       stalls: StallPolicy.create(),
-      earlierLeasesEndAt: this.earlierLeasesEndAt,
+      earlierLeasesEndAt: Math.max(
+        this.earlierLeasesEndAt,
+        this.endedLeases.get(description.id) ?? 0,
+      ),
       onChange: () => this.noteChange(),
     };
   }
@@ -405,10 +413,14 @@
           ...session.evidence(),
         });
         session.stop();
+        this.endedLeases.set(id, session.leasesEndAt);
         this.sessions.delete(id);
         this.state.workers.delete(id);
       }
     }
+    for (const [id, endsAt] of this.endedLeases) {
+      if (endsAt < now) this.endedLeases.delete(id);
+    }
     if (now >= this.unlistedSessionsAt) this.openUnlistedSessions();
     if (now > this.earlierLeasesEndAt) this.markOrphanedRunsLost();
     if (this.journal.isLogDown()) this.refuseUnsent();
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -208,7 +208,12 @@
     );
   }
 
-  /** True when the worker has left and nothing can run on it. */
+  /** Monotonic time by which all leases of the worker have expired. */
+  get leasesEndAt(): number {
+    return this.leases.expireAt;
+  }
+
+  /** True when the worker has left and the owner tracks no run on it. */
   get hasEnded(): boolean {
     const isLeaving =
       this.worker.description.state === 'draining' || !this.worker.isListed;
