Do not take a run for lost while a worker has more ends than it lists

Callers would see a task run again that is done.

A worker lists at most 500 ends in one answer. A run whose end is beyond them is in neither list, and the owner gave it up as `not listed by its worker`, or after a stop as `stopped`, and started it again. That takes an outage of the log, in which no end can be acknowledged, and a worker with many short tasks.

A report now tells whether ends were left out (the platform's link: a full page), and the owner concludes nothing from such a list.

--- a/packages/cell-host/src/worker_relay.test.ts
+++ b/packages/cell-host/src/worker_relay.test.ts
@@ -92,6 +92,7 @@
           checkpoint: '',
         },
       ],
+      hasMoreEnds: false,
     });
   }
 
--- a/packages/cell-model/src/worker_report.ts
+++ b/packages/cell-model/src/worker_report.ts
@@ -7,4 +7,6 @@
   bornAtUnixMilliseconds: number;
   running: RunningTask[];
   ends: RunEnd[];
+  /** Whether the worker has further ends that did not fit into this answer. */
+  hasMoreEnds: boolean;
 }
--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -315,6 +315,7 @@
         load: 0,
       })),
       ends: [...this.ends],
+      hasMoreEnds: false,
     };
   }
 
--- a/packages/cell-stand-ins/src/page_of_ends.test.ts
+++ b/packages/cell-stand-ins/src/page_of_ends.test.ts
@@ -40,6 +40,7 @@
                 ...answer,
                 running,
                 ends: answer.ends.slice(0, PAGE_SIZE),
+                hasMoreEnds: answer.ends.length >= PAGE_SIZE,
               };
             });
           },
@@ -95,6 +96,6 @@
 
 // Guards against tasks that run again after they were done: their ends are
 // beyond the page of ends, so the owner took them for runs that never started.
-it.fails('starts no task again whose end is beyond the page', async () => {
+it('starts no task again whose end is beyond the page', async () => {
   expect(await countRepeats(900)).toBe(0);
 });
--- a/packages/shard-owner/src/last_poll.ts
+++ b/packages/shard-owner/src/last_poll.ts
@@ -4,4 +4,6 @@
   sentAt: number;
   /** Names of the tasks that the worker listed as running. */
   running: ReadonlySet<string>;
+  /** Whether the answer left out ends, so that a run may be in neither list. */
+  hasMoreEnds: boolean;
 }
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -143,10 +143,8 @@
       !this.options.isStopped() &&
       this.options.worker.runs.get(run.task.name) === run
     ) {
-      if (
-        lastPoll().sentAt > stoppedAt &&
-        !lastPoll().running.has(run.task.name)
-      ) {
+      const {sentAt, running, hasMoreEnds} = lastPoll();
+      if (sentAt > stoppedAt && !hasMoreEnds && !running.has(run.task.name)) {
         runs.markLost(run, 'stopped');
         return;
       }
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -103,7 +103,11 @@
   private reportedAt: number;
   /** Number of process pauses before the last poll that was answered. */
   private pausesAtReport = 0;
-  private lastPoll: LastPoll = {sentAt: -Infinity, running: new Set()};
+  private lastPoll: LastPoll = {
+    sentAt: -Infinity,
+    running: new Set(),
+    hasMoreEnds: false,
+  };
 
   private constructor(private readonly options: WorkerSessionOptions) {
     this.reportedAt = options.clock.monotonicNow();
@@ -367,6 +371,7 @@
     this.lastPoll = {
       sentAt,
       running: new Set(report.running.map(row => row.taskName)),
+      hasMoreEnds: report.hasMoreEnds,
     };
     this.applyEnds(report);
     this.syncRunning(report, sentAt, now);
@@ -454,6 +459,8 @@
     }
     this.unknownRuns = unknown;
     this.hasUnknownRuns = unknown.size > 0;
+    // The end of a run that is not listed may be among those left out.
+    if (report.hasMoreEnds) return;
     for (const run of [...this.worker.runs.values()]) {
       if (listed.has(run.task.name) || run.phase === 'recording') continue;
       if (run.phase === 'running' && (run.runningSince ?? now) < sentAt) {
--- a/packages/worker-relay/src/relay_messages.ts
+++ b/packages/worker-relay/src/relay_messages.ts
@@ -104,6 +104,7 @@
         bornAtUnixMilliseconds: z.number(),
         running: z.array(RunningTask),
         ends: z.array(RunEnd),
+        hasMoreEnds: z.boolean().default(false),
       })
       .optional(),
   }),
