Measure the ends of leases from the newest reading of a worker's clock

Callers would see a task run on two workers at once.

The owner turned the end of a lease, a time on the worker's clock, into its own time when it granted the lease. A worker whose machine stood still for seconds, its clock with it, keeps the lease for that much longer; if it answers again and is then cut off, its runs were given up too early. The owner now keeps the latest granted end on the worker's clock, and converts it by the newest reading.

--- a/packages/shard-owner/src/worker_leases.ts
+++ b/packages/shard-owner/src/worker_leases.ts
@@ -29,7 +29,7 @@
 const LATE_ORDER_MILLISECONDS = 6_000;
 
 interface WorkerLeasesOptions {
-  journal: ShardJournal;
+  journal: Pick<ShardJournal, 'isLogFailing'>;
   clock: Clock;
   timing: OwnerTiming;
   /** Monotonic time by which all leases of earlier owners have expired. */
@@ -39,11 +39,16 @@
 /** The leases granted to one worker, on its clock and on the owner's. */
 export class WorkerLeases {
   private readonly clock = WorkerClock.create();
-  /** Monotonic time by which every granted lease has expired. */
-  private endsAt: number;
+  /** Latest lease end that was granted, on the worker's clock. */
+  private grantedEnd: number | undefined;
+  /**
+   * Monotonic time by which leases have expired whose ends are not known on the
+   * worker's present clock.
+   */
+  private otherLeasesEndAt: number;
 
   private constructor(private readonly options: WorkerLeasesOptions) {
-    this.endsAt = options.earlierLeasesEndAt;
+    this.otherLeasesEndAt = options.earlierLeasesEndAt;
   }
 
   static create(options: WorkerLeasesOptions): WorkerLeases {
@@ -56,7 +61,11 @@
 
   /** Monotonic time after which no run of the worker can still be running. */
   get expireAt(): number {
-    return this.endsAt;
+    if (this.grantedEnd === undefined) return this.otherLeasesEndAt;
+    return Math.max(
+      this.otherLeasesEndAt,
+      this.clock.latestLocalTime(this.grantedEnd) + this.marginMilliseconds,
+    );
   }
 
   /** Stores a reading of the worker's clock received at a monotonic time. */
@@ -67,18 +76,13 @@
   /**
    * Resets the clock estimate for a new incarnation of the worker. A restart
    * ends all earlier leases, but orders sent before the restart was detected
-   * carry lease ends on the former clock. The new incarnation caps such a lease
-   * at the maximum lease.
+   * carry lease ends on the former clock.
    */
   beginIncarnation(isRestart: boolean): void {
-    const {clock, timing} = this.options;
     this.clock.reset();
+    this.grantedEnd = undefined;
     if (!isRestart) return;
-    this.endsAt =
-      clock.monotonicNow() +
-      LATE_ORDER_MILLISECONDS +
-      timing.maximumLeaseMilliseconds / WorkerClock.slowestRate +
-      this.marginMilliseconds;
+    this.otherLeasesEndAt = LATE_ORDER_MILLISECONDS + this.longestLeaseEndsAt();
   }
 
   /** Grants a lease and returns its end on the worker's clock. */
@@ -91,13 +95,20 @@
       timing.maximumLeaseMilliseconds,
     );
     const end = Math.round(this.clock.estimate(now) + length);
-    this.endsAt = Math.max(
-      this.endsAt === Infinity ? 0 : this.endsAt,
-      this.clock.latestLocalTime(end) + this.marginMilliseconds,
-    );
+    this.grantedEnd = Math.max(this.grantedEnd ?? 0, end);
     return end;
   }
 
+  /** A worker shortens a longer lease to the longest one. */
+  private longestLeaseEndsAt(): number {
+    const {clock, timing} = this.options;
+    return (
+      clock.monotonicNow() +
+      timing.maximumLeaseMilliseconds / WorkerClock.slowestRate +
+      this.marginMilliseconds
+    );
+  }
+
   /**
    * Time after the end of a lease until its runs have ended: a worker kills
    * them then, which takes as long as a stop.
