Keep the name of the writing host in each log line

What on-call engineers saw: lines `advice queried` and `host added or restarted` appeared under the name of another host, so the owner's lines seemed to be missing and those of others misled.

Cause: both have a field `host`, which replaced the one of the process.

`host added or restarted` names the other host as `peer`.

--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -39,8 +39,9 @@
     if (known?.incarnation !== host.incarnation) {
       this.unresponsiveUntil.delete(host.name);
       this.logger.info('host added or restarted', {
-        host: host.name,
+        peer: host.name,
         address: host.address,
+        incarnation: host.incarnation,
       });
     }
   }
