--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
 // start loads and compiles little code. Writes the launcher, the bundle and the
 // V8 code cache. The first argument is the path of the launcher; the default is
 // target/cardamomfield.cjs.
-import {spawnSync} from 'node:child_process';
+import {execFileSync, spawnSync} from 'node:child_process';
 import {copyFileSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
 
@@ -85,6 +85,21 @@
   writeFileSync(path, JSON.stringify(settings));
 }
 
+/** The version of the package and, in a clone, the commit. */
+function version() {
+  const {version} = JSON.parse(readFileSync('platform/package.json', 'utf8'));
+  try {
+    const commit = execFileSync('git', ['describe', '--always', '--dirty'], {
+      encoding: 'utf8',
+      stdio: ['ignore', 'pipe', 'ignore'],
+    });
+    return `${version}+${commit.trim()}`;
+  } catch {
+    // Sources without a repository, or a machine without Git.
+    return version;
+  }
+}
+
 const launcher = process.argv[2] ?? 'target/cardamomfield.cjs';
 const base = launcher.replace(/\.cjs$/, '');
 await build({
@@ -97,6 +112,7 @@
   minify: true,
   keepNames: true,
   sourcemap: false,
+  define: {'process.env.CARDAMOMFIELD_VERSION': JSON.stringify(version())},
   plugins: [fromSources, replaceUnusedModules],
   banner: {js: '(function (require) {'},
   footer: {js: '})'},
