Remove the abort listeners of simulated callers

Cause: the signal that stops a simulated entry host. The loops of its components hold 11 listeners on it, one each, whatever the time that passes; the limit is 10. The daemon itself raises the limit for this signal in `EntryHost`, so only simulated hosts printed the warning. A leak was hidden behind it: each call of a simulated caller left two listeners on the signal until the host was killed.

Now callers remove their listener, and `SimulatedHost` sets the limit to 100. Above 11 the number is bounded by the callers that wait for one host at a time.

--- a/packages/fuzz/src/simulated_host.ts
+++ b/packages/fuzz/src/simulated_host.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {type ManualClock, SeededRandomSource} from '@cardamomfield/clock';
 import {EntryParts, TOKENS} from '@cardamomfield/entry-host';
 import {SilentLogger} from '@cardamomfield/logger';
@@ -19,6 +20,12 @@
 import {container} from 'tsyringe';
 import {PauseGate} from './pause_gate.js';
 
+/**
+ * Limit above which the runtime warns of a leak: 11 for the loops of the
+ * components, the others for the callers that wait for one host at a time.
+ */
+const MAXIMUM_LISTENERS = 100;
+
 interface SimulatedHostOptions {
   name: string;
   incarnation: string;
@@ -54,6 +61,8 @@
     const parts = await createParts(options, gate, linkFaults, metrics);
     const {name, hub} = options;
     const host = new SimulatedHost(name, parts, metrics, hub, gate, linkFaults);
+    // Each background loop and each open call of a caller adds a listener.
+    setMaxListeners(MAXIMUM_LISTENERS, host.controller.signal);
     void parts.run(host.controller.signal);
     return host;
   }
--- a/packages/fuzz/src/simulated_system.ts
+++ b/packages/fuzz/src/simulated_system.ts
@@ -308,15 +308,19 @@
 }
 
 /** Resolves to the result, or to undefined if the host is killed first. */
-function unlessKilled<Result>(
+async function unlessKilled<Result>(
   host: SimulatedHost,
   result: Promise<Result>,
 ): Promise<Result | undefined> {
+  let stopWaiting = () => {};
   const killed = new Promise<undefined>(resolve => {
-    if (host.signal.aborted) resolve(undefined);
-    host.signal.addEventListener('abort', () => resolve(undefined), {
-      once: true,
-    });
+    stopWaiting = () => resolve(undefined);
+    if (host.signal.aborted) stopWaiting();
+    host.signal.addEventListener('abort', stopWaiting);
   });
-  return Promise.race([result, killed]);
+  try {
+    return await Promise.race([result, killed]);
+  } finally {
+    host.signal.removeEventListener('abort', stopWaiting);
+  }
 }
