Start a run only in the incarnation that its intent names

Callers would see a task run on two workers at once after a change of the owner.

A start that was tried while its worker restarted at another address went to the new incarnation, but the records went on naming the former one. The next owner, whose directory does not list the worker, polls the recorded address; if another worker answers there, it gave the run up as `worker replaced` while the run was at work at the newer address.

A start is now sent only while the listed incarnation is the one in the intent; otherwise the run is placed anew, or a stop resolves the doubt.

--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -63,7 +63,8 @@
       const mayOrder =
         journal.hasAuthority() &&
         leases.isClockKnown &&
-        this.options.isUpToDate();
+        this.options.isUpToDate() &&
+        this.isForListedWorker(run);
       if (!mayOrder && attempt === 0) {
         runs.markLost(
           run,
@@ -101,6 +102,18 @@
     this.stop(run);
   }
 
+  /**
+   * True while the listed incarnation is the one that the intent names. The
+   * next owner looks for the run where the intent says.
+   */
+  private isForListedWorker({task}: Run): boolean {
+    const {address, bornAtUnixMilliseconds} = this.options.worker.description;
+    return (
+      task.workerAddress === address &&
+      task.workerBornAt === bornAtUnixMilliseconds
+    );
+  }
+
   /** Stops a run. Its end is recorded when the worker reports it. */
   stop(run: Run): void {
     if (run.phase === 'stopping') return;
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -415,8 +415,7 @@
       if (run.task.workerBornAt === this.bornAt) continue;
       if (run.phase === 'recording') continue;
       if (present.get(run.task.name) === run.attempt) {
-        run.task.workerBornAt = this.bornAt;
-        run.task.workerAddress = this.currentAddress;
+        this.noteIncarnation(run);
       } else if (isRestart && isStartInDoubt(run)) {
         // The start order may still reach the new incarnation. Stopping the run
         // there withdraws it first.
@@ -443,6 +442,7 @@
       const run = this.worker.runs.get(row.taskName);
       if (run && run.attempt === row.attempt) {
         listed.add(row.taskName);
+        this.noteIncarnation(run);
         this.updateRun(run, row, now);
         // A run adopted from an earlier owner may belong to a submission that
         // ended before its worker was polled.
@@ -469,6 +469,15 @@
     }
   }
 
+  /** Records that the answering incarnation holds a run. */
+  private noteIncarnation(run: Run): void {
+    if (run.task.workerBornAt === this.bornAt) return;
+    run.task.workerBornAt = this.bornAt;
+    run.task.workerAddress = this.currentAddress;
+    // The next owner may know the worker from the records alone.
+    this.options.runs.markStep(run.step);
+  }
+
   /** Logs a run that the worker lists and the owner does not track, once. */
   private logUnknownRun({taskName, attempt}: RunningTask): void {
     if (this.unknownRuns.has(`${taskName} ${attempt}`)) return;
