Simulate workers that drain, pause, lose entries and kill runs slowly

Callers saw a task run on two workers at once, and no random run showed it. The former actions play as before; the new ones are chosen apart.

Each traced overlap follows a run given up as `worker left` or as `lease expired` while it was being killed.

--- a/packages/cell-stand-ins/src/host_overrides.ts
+++ b/packages/cell-stand-ins/src/host_overrides.ts
@@ -1,4 +1,5 @@
 import type {Adviser, ShardLog, WorkerLink} from '@cardamomfield/cell-model';
+import type {Logger} from '@cardamomfield/logger';
 
 /**
  * Replaces parts of a simulated host, to observe its calls or to inject a
@@ -17,6 +18,8 @@
   timerLatenessMilliseconds?: number;
   /** Whether calls may leave after their time limit, as they must not. */
   sendsOverdueCalls?: boolean;
+  /** Receives what owners log; nothing does by default. */
+  logger?: Logger;
   wrapLink?: (link: WorkerLink) => WorkerLink;
   /** Client of the advice service; without one, no host queries advice. */
   adviser?: Adviser;
--- a/packages/cell-stand-ins/src/main.ts
+++ b/packages/cell-stand-ins/src/main.ts
@@ -16,6 +16,12 @@
     default: false,
     describe: 'with --recovery: workers may be lost without a replacement',
   })
+  .option('drains', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'workers also drain, pause, lose their entries and kill runs slowly',
+  })
   .strict()
   .parse();
 
@@ -41,7 +47,9 @@
     count += interrupted;
     return violations;
   }
-  const {violations, completed} = await OwnershipSimulation.run(seed);
+  const {violations, completed} = await OwnershipSimulation.run(seed, {
+    drainsWorkers: options.drains,
+  });
   count += completed;
   return violations;
 }
--- a/packages/cell-stand-ins/src/memory_cell_link.ts
+++ b/packages/cell-stand-ins/src/memory_cell_link.ts
@@ -101,7 +101,11 @@
     ) {
       await this.sleep(CHECK_INTERVAL_MILLISECONDS);
     }
-    if (this.faults.isPartitioned || this.worker.incarnation !== incarnation) {
+    const isReached =
+      !this.faults.isPartitioned &&
+      !this.worker.isPaused &&
+      this.worker.incarnation === incarnation;
+    if (!isReached) {
       await this.sleep(TIMEOUT_MILLISECONDS);
       return Left(UncertainError.create('no answer'));
     }
@@ -131,6 +135,11 @@
       if (deadline.hasPassed && !this.sendsOverdueCalls) return undefined;
     }
     const isReached = !this.faults.isPartitioned && this.worker.isUp;
+    if (isReached && this.worker.isPaused) {
+      void this.executeAfterPause(execute);
+      await this.sleep(TIMEOUT_MILLISECONDS);
+      return undefined;
+    }
     if (isReached && this.random.fraction() >= this.faults.delayProbability) {
       const result = execute();
       await this.clock.whenRunning();
@@ -148,6 +157,16 @@
     return undefined;
   }
 
+  /** A paused worker carries out orders that have arrived once it runs again. */
+  private async executeAfterPause(execute: () => unknown): Promise<void> {
+    const {incarnation} = this.worker;
+    const latestAt =
+      this.virtualClock.monotonicNow() + LONGEST_DELAY_MILLISECONDS;
+    await this.worker.whenResumed();
+    if (this.worker.incarnation !== incarnation) return;
+    if (this.virtualClock.monotonicNow() <= latestAt) execute();
+  }
+
   private async sleep(milliseconds: number): Promise<void> {
     await this.virtualClock.sleepUntil(
       this.virtualClock.monotonicNow() + milliseconds,
--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -99,6 +99,9 @@
   private readonly killRandom: RandomSource | undefined;
   /** Time by which the worker notices the end of the current lease late. */
   private latenessMilliseconds = 0;
+  private pausedSince: number | undefined;
+  private resolveResumed: (() => void) | undefined;
+  private resumed: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: MemoryCellWorkerOptions) {
     const {random, virtualClock, ledger, id} = options;
@@ -143,6 +146,7 @@
   /** Restarts the worker under the same ID with all of its state lost. */
   restart(): void {
     this.loseState();
+    this.isDraining = false;
     this.bornAt = this.options.virtualClock.wallNow();
     this.startedAt = this.options.virtualClock.monotonicNow();
     this.isUp = false;
@@ -168,6 +172,37 @@
     });
   }
 
+  get isPaused(): boolean {
+    return this.pausedSince !== undefined;
+  }
+
+  /** Resolves as soon as the worker is not paused. */
+  whenResumed(): Promise<void> {
+    return this.resumed;
+  }
+
+  /**
+   * Pauses the worker's processes: it answers nothing and its runs make no
+   * progress. Its clock and its lease go on.
+   */
+  pause(): void {
+    if (this.isPaused || !this.isUp) return;
+    this.settle();
+    this.pausedSince = this.options.virtualClock.monotonicNow();
+    this.resumed = new Promise(resolve => {
+      this.resolveResumed = resolve;
+    });
+  }
+
+  resume(): void {
+    if (this.pausedSince === undefined) return;
+    const now = this.options.virtualClock.monotonicNow();
+    for (const run of this.runs.values()) run.endsAt += now - this.pausedSince;
+    this.pausedSince = undefined;
+    this.settle();
+    this.resolveResumed?.();
+  }
+
   start(order: StartOrder): StartOutcome {
     if (this.isReplaced) return refused('other-life', 0);
     this.settle();
@@ -240,6 +275,7 @@
 
   /** Ends the runs that are complete or whose lease has lapsed. */
   settle(): void {
+    if (this.isPaused) return;
     const now = this.options.virtualClock.monotonicNow();
     if (this.lapsesAt <= now) this.lapse();
     for (const [name, run] of [...this.runs]) {
@@ -271,7 +307,9 @@
   private endOf(run: WorkerRun): RunEnding {
     if (run.killed) return run.killed;
     const {lapsesAt} = this;
-    return run.endsAt <= lapsesAt
+    // A paused process does no work, so a run that a pause has hidden counts as
+    // ended once the lease has lapsed and the time to kill it has passed.
+    return run.endsAt <= lapsesAt && !this.isPaused
       ? {at: run.endsAt, kind: run.kind}
       : {at: lapsesAt + run.killMilliseconds, kind: 'lapsed'};
   }
@@ -288,6 +326,8 @@
       this.options.ledger.recordEnd(name, this.id);
     }
     this.incarnation++;
+    this.pausedSince = undefined;
+    this.resolveResumed?.();
     this.runs = new Map();
     this.ends = [];
     this.endCount = 0;
--- a/packages/cell-stand-ins/src/ownership_simulation.test.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.test.ts
@@ -24,6 +24,14 @@
  */
 const OVERDUE_START_SEEDS = [93397, 110383];
 
+/**
+ * Seeds on which a task ran twice while workers drained, lost their entries,
+ * were cut off or paused. The owner took a draining worker for gone (5, 20, 74,
+ * 92, 153, 296), or did not wait until a worker without a lease had killed its
+ * runs (15, 242, 249, 282, 401, 429, 498).
+ */
+const DRAIN_SEEDS = [5, 15, 20, 74, 92, 153, 242, 249, 282, 296, 401, 429, 498];
+
 /** Rare faults need many simulations before one of them reveals a defect. */
 const DEFECT_SEEDS = 1_000;
 
@@ -71,6 +79,30 @@
     }
   });
 
+  // Guards against a second run of a task on a worker that is up, when another
+  // one drains, loses its entry, is cut off or pauses.
+  it.fails('upholds its guarantees while workers drain and pause', async () => {
+    const broken: number[] = [];
+    for (const seed of [...SEEDS, ...DRAIN_SEEDS]) {
+      const {violations} = await OwnershipSimulation.run(seed, {
+        drainsWorkers: true,
+      });
+      if (violations.length > 0) broken.push(seed);
+    }
+    expect(broken).toEqual([]);
+  });
+
+  // Without completed work the test above would prove nothing.
+  it('completes work while workers drain and pause', async () => {
+    let completed = 0;
+    for (const seed of SEEDS) {
+      const result = await OwnershipSimulation.run(seed, {drainsWorkers: true});
+      expect(result.completed).toBe(result.accepted);
+      completed += result.completed;
+    }
+    expect(completed).toBeGreaterThan(SEEDS.length * 10);
+  });
+
   // Each of the following tests disables one part of the protocol. If no
   // simulation failed, the tests above would prove nothing about that part.
   it('detects calls that do not carry the fencing token', async () => {
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -25,6 +25,28 @@
 /** Cancelled tasks must be stopped within this time after the faults. */
 const STOP_MILLISECONDS = 3_000;
 
+/** Time that the workers need to kill a run, and lateness of their timers. */
+const SLOW_KILLS: HostOverrides = {
+  stopMilliseconds: 900,
+  timerLatenessMilliseconds: 150,
+};
+
+/** Share of actions that concern workers and work, not hosts or the store. */
+const WORKER_ACTION_SHARE = 0.85;
+
+const LONGEST_DRAIN_MILLISECONDS = 8_000;
+const LONGEST_CUT_MILLISECONDS = 12_000;
+const LONGEST_LAPSE_MILLISECONDS = 6_000;
+const LONGEST_PAUSE_MILLISECONDS = 8_000;
+
+interface OwnershipSimulationOptions extends HostOverrides {
+  /**
+   * Whether workers may also drain, lose their directory entries, be cut off
+   * from all hosts and pause, and need time to kill their runs.
+   */
+  drainsWorkers?: boolean;
+}
+
 interface OwnershipSimulationResult {
   violations: string[];
   submitted: number;
@@ -50,8 +72,14 @@
   private submitted = 0;
   private highestEpoch = 0;
 
-  private constructor(seed: number, overrides: HostOverrides) {
+  private constructor(
+    seed: number,
+    private readonly options: OwnershipSimulationOptions,
+  ) {
     this.random = SeededRandomSource.create(seed);
+    const overrides: HostOverrides = options.drainsWorkers
+      ? {...SLOW_KILLS, ...options}
+      : options;
     for (let index = 0; index < WORKER_COUNT; index++) {
       const id = `worker-${index}`;
       this.workers.set(
@@ -85,12 +113,13 @@
 
   static async run(
     seed: number,
-    overrides: HostOverrides = {},
+    options: OwnershipSimulationOptions = {},
   ): Promise<OwnershipSimulationResult> {
-    return new OwnershipSimulation(seed, overrides).run();
+    return new OwnershipSimulation(seed, options).run();
   }
 
   private async run(): Promise<OwnershipSimulationResult> {
+    if (this.options.drainsWorkers) this.claimIfUnowned();
     for (let step = 0; step < ACTION_COUNT; step++) {
       this.performRandomAction();
       await this.advance(
@@ -151,7 +180,76 @@
       () => host.clearFaults(),
       () => this.cancel(),
     ];
-    this.pick(actions)();
+    // Kept seeds play the actions above only, so others are chosen apart.
+    const isWorkerAction =
+      this.options.drainsWorkers &&
+      this.random.fraction() < WORKER_ACTION_SHARE;
+    this.pick(isWorkerAction ? this.workerActions(worker) : actions)();
+  }
+
+  private workerActions(worker: MemoryCellWorker): Array<() => void> {
+    return [
+      () => this.claimIfUnowned(),
+      () => this.submit(),
+      () => this.submit(),
+      () => this.submit(),
+      () => this.drain(worker),
+      () => this.drain(worker),
+      () => this.lapseEntry(worker),
+      () => this.lapseEntry(worker),
+      () => this.cutOff(worker),
+      () => this.cutOff(worker),
+      () => this.cutOff(worker),
+      () => this.pause(worker),
+    ];
+  }
+
+  private claimIfUnowned(): void {
+    if (this.hosts.some(host => host.owner)) return;
+    const host = this.pick(this.hosts);
+    host.clearFaults();
+    this.claim(host);
+  }
+
+  /** Drains a worker, which leaves later and is replaced by a new life. */
+  private drain(worker: MemoryCellWorker): void {
+    if (worker.isDraining) return;
+    worker.isDraining = true;
+    const {incarnation} = worker;
+    this.after(LONGEST_DRAIN_MILLISECONDS, () => {
+      if (worker.incarnation !== incarnation) return;
+      worker.restart();
+      this.lapseEntry(worker);
+    });
+  }
+
+  /** Removes a worker's directory entry for some time. */
+  private lapseEntry(worker: MemoryCellWorker): void {
+    worker.isListed = false;
+    this.after(LONGEST_LAPSE_MILLISECONDS, () => {
+      worker.isListed = true;
+    });
+  }
+
+  /** Cuts a worker off from all hosts for some time. */
+  private cutOff(worker: MemoryCellWorker): void {
+    const faults = this.hosts.flatMap(host => host.faults.get(worker.id) ?? []);
+    for (const fault of faults) fault.isPartitioned = true;
+    this.after(LONGEST_CUT_MILLISECONDS, () => {
+      for (const fault of faults) fault.isPartitioned = false;
+    });
+  }
+
+  private pause(worker: MemoryCellWorker): void {
+    worker.pause();
+    this.after(LONGEST_PAUSE_MILLISECONDS, () => worker.resume());
+  }
+
+  private after(longestMilliseconds: number, change: () => void): void {
+    const delay = this.random.integerBelow(longestMilliseconds);
+    void this.virtualClock
+      .sleepUntil(this.virtualClock.monotonicNow() + delay)
+      .then(change);
   }
 
   private claim(host: SimulatedOwnerHost): void {
@@ -187,6 +285,7 @@
   private async finish(): Promise<number> {
     this.store.isDown = false;
     for (const host of this.hosts) host.clearFaults();
+    for (const worker of this.workers.values()) this.clearFaults(worker);
     const endsAt = this.virtualClock.monotonicNow() + RECOVERY_MILLISECONDS;
     let completed = 0;
     while (this.virtualClock.monotonicNow() < endsAt) {
@@ -218,6 +317,12 @@
     return completed;
   }
 
+  private clearFaults(worker: MemoryCellWorker): void {
+    worker.isListed = true;
+    worker.resume();
+    if (worker.isDraining) worker.restart();
+  }
+
   private pick<Item>(items: readonly Item[]): Item {
     return items[this.random.integerBelow(items.length)]!;
   }
--- a/packages/cell-stand-ins/src/pausable_clock.ts
+++ b/packages/cell-stand-ins/src/pausable_clock.ts
@@ -1,5 +1,7 @@
 import type {Clock, ManualClock} from '@cardamomfield/clock';
 
+const SHORTEST_SLEEP_MILLISECONDS = 1e-6;
+
 /**
  * The clock of one simulated process. While the process is paused, monotonic
  * time does not advance and no timer fires; the wall clock continues.
@@ -28,7 +30,13 @@
   async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
     while (!signal?.aborted && this.monotonicNow() < deadline) {
       await this.whenRunning();
-      await this.virtualClock.sleepUntil(deadline + this.pausedTotal, signal);
+      // Rounding may put the deadline at the present time of the virtual clock
+      // although it has not passed on this one.
+      const wakeAt = Math.max(
+        deadline + this.pausedTotal,
+        this.virtualClock.monotonicNow() + SHORTEST_SLEEP_MILLISECONDS,
+      );
+      await this.virtualClock.sleepUntil(wakeAt, signal);
     }
     await this.whenRunning();
   }
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -60,7 +60,7 @@
   /** Claims the shard with the epoch that follows the given one. */
   async claim(epoch: number): Promise<void> {
     const {name, random} = this.options;
-    const {adviser, stopMilliseconds} = this.options.overrides;
+    const {adviser, logger, stopMilliseconds} = this.options.overrides;
     if (this.owner || this.isClaiming) return;
     this.isClaiming = true;
     const incarnation = ++this.incarnation;
@@ -89,7 +89,7 @@
       },
       adviceChannels: () => (adviser ? [{hostName: name, adviser}] : []),
       clock: this.clock,
-      logger: SilentLogger.create(),
+      logger: logger ?? SilentLogger.create(),
       metrics: MemoryMetrics.create(),
       timing: {...TIMING, ...(stopMilliseconds && {stopMilliseconds})},
       onLost: () => {
