Test: the same lease where the start is unanswered

Callers would see two runs of one task, as after an answered start. Here no answer can show that the worker's clock has gone back, so a check of that answer alone doesn't mend it.

--- a/packages/cell-stand-ins/src/restarted_before_poll.test.ts
+++ b/packages/cell-stand-ins/src/restarted_before_poll.test.ts
@@ -1,6 +1,8 @@
 import {expect, it} from 'vitest';
 import {CellHarness} from './cell_harness.js';
+import type {MemoryCellWorker} from './memory_cell_worker.js';
 import {createSubmission} from './plain_submission.js';
+import {replaceLinkCalls} from './replace_link_calls.js';
 
 const SEEDS = Array.from({length: 20}, (_, index) => index + 1);
 
@@ -19,11 +21,24 @@
 async function findViolations(
   seed: number,
   restarts: boolean,
+  losesAnswers: boolean,
 ): Promise<{startedRuns: number; violations: string[]}> {
   const harness = CellHarness.create({
     seed,
     workerIds: ['cut', 'near'],
     milliCores: 20_000,
+    overrides: {
+      wrapLink: link =>
+        replaceLinkCalls(link, {
+          start: async order => {
+            const outcome = await link.start(order);
+            const {id} = Reflect.get(link, 'worker') as MemoryCellWorker;
+            return losesAnswers && id === 'cut'
+              ? {kind: 'uncertain', cause: 'the answer was lost'}
+              : outcome;
+          },
+        }),
+    },
   });
   const {virtualClock, workers, ledger} = harness;
   const host = harness.addHost('host');
@@ -60,11 +75,11 @@
   return {startedRuns, violations: ledger.violations};
 }
 
-async function findAll(restarts: boolean) {
+async function findAll(restarts: boolean, losesAnswers = false) {
   const violations: string[] = [];
   let startedRuns = 0;
   for (const seed of SEEDS) {
-    const result = await findViolations(seed, restarts);
+    const result = await findViolations(seed, restarts, losesAnswers);
     violations.push(...result.violations);
     startedRuns += result.startedRuns;
   }
@@ -85,3 +100,15 @@
     expect(await findAll(true)).toEqual([]);
   },
 );
+
+it('waits for the lease of an unanswered start before a cut', async () => {
+  expect(await findAll(false, true)).toEqual([]);
+});
+
+// Guards against the same where no answer could show the new clock.
+it.fails(
+  'waits for the lease of an unanswered start to a new incarnation',
+  async () => {
+    expect(await findAll(true, true)).toEqual([]);
+  },
+);
