--- a/packages/shard-owner/src/advice_dispatcher.ts
+++ b/packages/shard-owner/src/advice_dispatcher.ts
@@ -200,7 +200,7 @@
     });
     logger.info('advice queried', {
       step: step.name,
-      host: channel.hostName,
+      adviser: channel.hostName,
       named: query.workerIds.length,
       approved: result.isRight() ? result.unsafeCoerce().tickets.size : 0,
       milliseconds: Math.round(now - sentAt),
