Fail a claim whose owner record is unreadable instead of throwing

Operators would see hosts end, and end again after each restart.

claimShard parsed the record of the shard's owner without a guard, so an odd record in the shard's log ended the election, and the process with it. The claim now fails with a typed error.

claim_shard.test.ts failed before in three of three cases.

--- a/packages/shard-owner/src/claim_shard.test.ts
+++ b/packages/shard-owner/src/claim_shard.test.ts
@@ -4,9 +4,9 @@
 import {expect, it} from 'vitest';
 import {claimShard} from './claim_shard.js';
 
-// Fails: reading an odd owner record throws, the election ends with it, and the
-// process exits with 'process cannot run'.
-it.fails.each(['{', '{"epoch":9007199254740992}', '['.repeat(50_000)])(
+// Guards against a process that exits because an odd record of the shard's owner
+// made the claim throw.
+it.each(['{', '{"epoch":9007199254740992}', '['.repeat(50_000)])(
   'answers with a failure when the owner record of the log is odd',
   async value => {
     const log: ShardLog = {
--- a/packages/shard-owner/src/claim_shard.ts
+++ b/packages/shard-owner/src/claim_shard.ts
@@ -24,6 +24,9 @@
  */
 const SEQUENCE_RANGE = 2 ** 40;
 
+/** Longest part of a parser's message that an error repeats. */
+const MAXIMUM_CAUSE_CHARACTERS = 200;
+
 interface ClaimShardOptions {
   log: ShardLog;
   clock: Clock;
@@ -72,7 +75,9 @@
     );
   }
   const records = toMap(read.unsafeCoerce());
-  const owner = readOwner(records);
+  const recorded = readOwner(records);
+  if (recorded.isLeft()) return recorded as Either<TypedError, never>;
+  const owner = recorded.unsafeCoerce();
   if (owner?.incarnation !== claim.incarnation || owner.epoch !== claim.epoch) {
     return Left(
       ConflictError.create('another host claimed the shard', {owner}),
@@ -92,8 +97,9 @@
 ): Promise<Either<TypedError, never>> {
   const read = await log.readNewest();
   if (read.isLeft()) return read as Either<TypedError, never>;
-  const owner = readOwner(toMap(read.unsafeCoerce()));
-  return Left(ConflictError.create('the shard has a newer owner', {owner}));
+  return readOwner(toMap(read.unsafeCoerce())).chain(owner =>
+    Left(ConflictError.create('the shard has a newer owner', {owner})),
+  );
 }
 
 async function appendClaim(
@@ -126,8 +132,16 @@
 
 function readOwner(
   records: ReadonlyMap<string, string>,
-): OwnerRecord | undefined {
+): Either<TypedError, OwnerRecord | undefined> {
   const value = records.get(OWNER_KEY);
-  if (value === undefined) return undefined;
-  return OwnerRecord.parse(JSON.parse(value));
+  if (value === undefined) return Right(undefined);
+  try {
+    return Right(OwnerRecord.parse(JSON.parse(value)));
+  } catch (thrown) {
+    return Left(
+      UncertainError.create(
+        `the record of the shard's owner is unreadable: ${String(thrown).slice(0, MAXIMUM_CAUSE_CHARACTERS)}`,
+      ),
+    );
+  }
 }
