--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -57,7 +57,8 @@
 /**
  * Simulates several hosts that claim one shard and submit work under random
  * faults: network partitions, process pauses, kills, worker restarts, late
- * orders, lost answers and outages of the store. The ledger of the workers'
+ * orders, lost answers and outages of the store; on request also drains, lapsed
+ * entries and pauses of workers. The ledger of the workers'
  * runs records every violated guarantee.
  */
 export class OwnershipSimulation {
