Let a stall of the owner delay acknowledgements only, not starts

Callers would see a task wait for 2 to 3.4 s after a stall of 0.45 s, and for as long as the stalls go on.

A stall counted as a pause, after which a start waits until its worker has been polled anew, and the poll in flight does not count: an idle worker holds one for 2 s. Passes of 300 ms counted as stalls too. What a start needs after a stall, it has: the age of the proof includes the stall, and the answer shows a restart of the worker. So a stall now only keeps the next poll from acknowledging ends, for which it was added.

stalled_owner.test.ts and busy_owner.test.ts failed before (no start within 12 s beside stalls of 450 ms each second; 20 pauses in 20 passes of 300 ms); stopped_owner.test.ts holds.

--- a/packages/cell-stand-ins/src/stalled_owner.test.ts
+++ b/packages/cell-stand-ins/src/stalled_owner.test.ts
@@ -87,10 +87,10 @@
 
 // Guards against tasks that wait for seconds with room for them: the poll that a
 // stall makes stale is held open for 2 s by an idle worker, and the next one too.
-it.fails('starts a task on an idle worker soon after a stall', async () => {
+it('starts a task on an idle worker soon after a stall', async () => {
   expect(await measureAll(true)).toEqual([]);
 });
 
-it.fails('starts a task on an idle worker although stalls repeat', async () => {
+it('starts a task on an idle worker although stalls repeat', async () => {
   expect(await measureAll(true, 1_000)).toEqual([]);
 });
--- a/packages/shard-owner/src/busy_owner.test.ts
+++ b/packages/shard-owner/src/busy_owner.test.ts
@@ -58,6 +58,6 @@
 
 // Guards against an owner that starts nothing while it is busy: a pause makes
 // every worker wait for a new poll before its next start.
-it.fails('counts no pause over passes of 300 ms', async () => {
+it('counts no pause over passes of 300 ms', async () => {
   expect(await countPauses(300)).toBe(0);
 });
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -52,7 +52,7 @@
 /** Interval between the turns of the event loop that are recorded. */
 const TURN_INTERVAL_MILLISECONDS = 100;
 
-/** Time without a recorded turn above which the process counts as paused. */
+/** Time without a recorded turn above which the process counts as stalled. */
 const STALL_LIMIT_MILLISECONDS = 400;
 
 /** One append that has not succeeded yet. */
@@ -108,6 +108,7 @@
   private readonly pauseDetector: PauseDetector;
   private isStopped = false;
   private pauses = 0;
+  private stalls = 0;
   /** Monotonic time of the last recorded turn of the event loop. */
   private lastTurnAt: number;
   private readonly wakeUp: Notifier;
@@ -170,6 +171,15 @@
     return this.pauses;
   }
 
+  /**
+   * Number of pauses and stalls detected so far. A worker may have restarted
+   * unnoticed during either.
+   */
+  get interruptionCount(): number {
+    this.checkForPause();
+    return this.pauses + this.stalls;
+  }
+
   /** True while appends have failed for so long that new work is refused. */
   isLogDown(): boolean {
     return this.logDownMilliseconds > LOG_DOWN_MILLISECONDS;
@@ -426,8 +436,8 @@
   }
 
   /**
-   * Counts a stop of the process or a blocked event loop, over which the
-   * monotonic clock goes on, as a pause. The age of the proof includes it.
+   * Counts a stop of the process or a blocked event loop. The monotonic clock
+   * goes on meanwhile, so the ages of proofs and leases include it.
    */
   private checkForStall(): void {
     if (this.isStopped) return;
@@ -435,8 +445,8 @@
     const milliseconds = now - this.lastTurnAt;
     if (milliseconds <= STALL_LIMIT_MILLISECONDS) return;
     this.lastTurnAt = now;
-    this.pauses++;
-    this.options.logger.warn('process stalled; workers must be polled again', {
+    this.stalls++;
+    this.options.logger.warn('process stalled', {
       epoch: this.epoch,
       milliseconds: Math.round(milliseconds),
     });
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -104,6 +104,8 @@
   private reportedAt: number;
   /** Number of process pauses before the last poll that was answered. */
   private pausesAtReport = 0;
+  /** The same with stalls. */
+  private interruptionsAtReport = 0;
   private lastPoll: LastPoll = {
     sentAt: -Infinity,
     running: new Set(),
@@ -280,12 +282,14 @@
 
   /**
    * False when another incarnation of the worker may answer the next poll:
-   * after a failed poll, a process pause, or a directory update that shows a
-   * restart. A new incarnation numbers its ends from 1 again.
+   * after a failed poll, a pause or stall of this process, or a directory update
+   * that shows a restart. A new incarnation numbers its ends from 1 again.
    */
   private get isSameIncarnation(): boolean {
     return (
-      this.isReachable && this.isUpToDate && this.reportedLink === this.link
+      this.isReachable &&
+      this.interruptionsAtReport === this.options.journal.interruptionCount &&
+      this.reportedLink === this.link
     );
   }
 
@@ -304,6 +308,7 @@
       journal.hasAuthority();
     const link = this.link;
     const pausesBefore = journal.pauseCount;
+    const interruptionsBefore = journal.interruptionCount;
     const result = await link.poll({
       leaseEndWorkerMilliseconds: mayRenew ? this.leases.grant(now) : undefined,
       fence: journal.epoch,
@@ -320,6 +325,7 @@
       this.isReachable = true;
       this.reportedLink = link;
       this.pausesAtReport = pausesBefore;
+      this.interruptionsAtReport = interruptionsBefore;
       return result.unsafeCoerce();
     }
     const error = result.extract() as Error;
