Withdraw an open start again in a restarted worker

Callers would see a task run on two workers at once.

A stop that withdraws an unanswered start was answered, then the worker restarted. The session meant to stop the run in the new incarnation too, but the run was being stopped already, so nothing was sent; the next report counted as the confirmation, and the late start arrived in the new incarnation after the task had been placed elsewhere.

--- a/packages/cell-stand-ins/src/stopped_before_restart.test.ts
+++ b/packages/cell-stand-ins/src/stopped_before_restart.test.ts
@@ -107,9 +107,6 @@
 
 // Guards against two runs of a task: the stop was answered by the former
 // incarnation, and a report of the new one counted as its confirmation.
-it.fails(
-  'withdraws a late start also from a worker that restarted after the stop',
-  async () => {
-    expect(await findAll(true)).toEqual([]);
-  },
-);
+it('withdraws a late start also from a worker that restarted after the stop', async () => {
+  expect(await findAll(true)).toEqual([]);
+});
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -48,6 +48,9 @@
 
 /** Sends orders to one worker: starts, stops and pacing. */
 export class RunOrders {
+  /** The stop of each run that began last. */
+  private readonly stops = new WeakMap<Run, symbol>();
+
   private constructor(private readonly options: RunOrdersOptions) {}
 
   static create(options: RunOrdersOptions): RunOrders {
@@ -121,26 +124,48 @@
     run.phase = 'stopping';
     // No start order was sent yet, so the worker has nothing to stop.
     if (wasRecording) this.options.runs.markLost(run, 'withdrawn');
-    else void this.sendStops(run);
+    else this.beginStop(run);
   }
 
-  private async sendStops(run: Run): Promise<void> {
-    const {clock, journal, runs, worker} = this.options;
-    while (
+  /**
+   * Stops a run in a new incarnation of the worker, which may still receive its
+   * start. Answers of the former incarnation no longer count.
+   */
+  withdraw(run: Run): void {
+    run.phase = 'stopping';
+    this.beginStop(run);
+  }
+
+  private beginStop(run: Run): void {
+    const order = Symbol(run.task.name);
+    this.stops.set(run, order);
+    void this.sendStops(run, () => this.isStopping(run, order));
+  }
+
+  /** True until the run has ended or another stop of it has begun. */
+  private isStopping(run: Run, order: symbol): boolean {
+    return (
       !this.options.isStopped() &&
-      worker.runs.get(run.task.name) === run
-    ) {
+      this.stops.get(run) === order &&
+      this.options.worker.runs.get(run.task.name) === run
+    );
+  }
+
+  private async sendStops(run: Run, isStopping: () => boolean): Promise<void> {
+    const {clock, journal, runs, worker} = this.options;
+    while (isStopping()) {
       const {description} = worker;
       const result = await this.options
         .link()
         .stop(run.task.name, run.attempt, journal.epoch);
       const answeredAt = clock.monotonicNow();
+      if (!isStopping()) return;
       if (result.isRight()) {
         this.options.onStopped();
         await clock.sleepUntil(
           answeredAt + this.options.timing.stopMilliseconds,
         );
-        await this.confirmStopped(run, answeredAt);
+        await this.confirmStopped(run, answeredAt, isStopping);
         return;
       }
       if (
@@ -158,12 +183,13 @@
    * Waits until the run's end is recorded or a poll sent after the answered
    * stop does not list the run, which means that it does not exist any more.
    */
-  private async confirmStopped(run: Run, stoppedAt: number): Promise<void> {
+  private async confirmStopped(
+    run: Run,
+    stoppedAt: number,
+    isStopping: () => boolean,
+  ): Promise<void> {
     const {clock, runs, lastPoll} = this.options;
-    while (
-      !this.options.isStopped() &&
-      this.options.worker.runs.get(run.task.name) === run
-    ) {
+    while (isStopping()) {
       const {sentAt, running, hasMoreEnds} = lastPoll();
       if (sentAt > stoppedAt && !hasMoreEnds && !running.has(run.task.name)) {
         runs.markLost(run, 'stopped');
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -431,7 +431,7 @@
       } else if (isRestart && isStartInDoubt(run)) {
         // The start order may still reach the new incarnation. Stopping the run
         // there withdraws it first.
-        this.orders.stop(run);
+        this.orders.withdraw(run);
       } else {
         runs.markLost(run, 'worker restarted');
       }
