Withdraw starts with an unanswered try from a restarted worker

Callers would see a task run on two workers at once.

A start whose first try got no answer counted as known once a later try was answered. If its worker then restarted, the run was given up without a stop, and the first try, carried out late, started it in the new incarnation. A run now remembers that a try got no answer, and is withdrawn in the new incarnation as a start in doubt.

--- a/packages/cell-scheduler/src/cell_fixture.ts
+++ b/packages/cell-scheduler/src/cell_fixture.ts
@@ -80,6 +80,7 @@
       memoryMegabytes: specification.memoryMegabytes,
       accelerators: specification.accelerators,
       ticket,
+      hasUnansweredStart: false,
       placedAt: now,
       runningSince: now,
       progressPercent: 0,
--- a/packages/cell-scheduler/src/run.ts
+++ b/packages/cell-scheduler/src/run.ts
@@ -18,6 +18,11 @@
   memoryMegabytes: number;
   accelerators: number;
   ticket: string;
+  /**
+   * Whether a try of the start got no answer, so that it may still be carried
+   * out, also by a later incarnation of the worker.
+   */
+  hasUnansweredStart: boolean;
   /** Monotonic time of the placement. */
   placedAt: number;
   /** Monotonic time at which the worker confirmed the run. */
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -82,6 +82,7 @@
         return;
       }
       const outcome = await this.sendStart(run);
+      if (outcome.kind === 'uncertain') run.hasUnansweredStart = true;
       // The phase may have changed while the call was in flight.
       if (
         (run.phase as Run['phase']) !== 'ordering' ||
--- a/packages/shard-owner/src/run_tracker.ts
+++ b/packages/shard-owner/src/run_tracker.ts
@@ -285,6 +285,7 @@
     memoryMegabytes: specification.memoryMegabytes,
     accelerators: specification.accelerators,
     ticket,
+    hasUnansweredStart: false,
     placedAt: now,
     runningSince: undefined,
     progressPercent: 0,
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -564,10 +564,10 @@
 }
 
 /**
- * True while it is not known whether the worker has received the start order,
- * also while a stop withdraws that order.
+ * True while a start order may still reach the worker: it is in flight, a try of
+ * it got no answer, or a stop withdraws it.
  */
 function isStartInDoubt(run: Run): boolean {
-  if (run.phase === 'ordering') return true;
+  if (run.phase === 'ordering' || run.hasUnansweredStart) return true;
   return run.phase === 'stopping' && run.runningSince === undefined;
 }
