Go on polling a worker after an unexpected error

Operators would see a worker that nobody polls: an error that a poll raised ended its session, which was only logged, and its runs lost their leases. The error is now logged and the worker polled again.

failing_poll.test.ts failed before: the submission stayed queued for 60 s.

--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -169,23 +169,39 @@
 
   /** Polls the worker until the session is stopped. */
   async run(): Promise<void> {
-    const {clock} = this.options;
+    const {clock, logger} = this.options;
     while (!this.isStopped) {
-      const sentAt = clock.monotonicNow();
-      const report = await this.poll(sentAt);
-      if (this.isStopped) break;
-      if (!report) {
+      try {
+        await this.pollOnce();
+      } catch (thrown) {
+        // Without polls the leases of the worker's runs would not be renewed.
+        logger.error('poll of a worker failed unexpectedly', {
+          worker: this.worker.id,
+          cause: String(thrown),
+        });
+        this.isReachable = false;
+        this.worker.isUsable = false;
         await this.wakeUp.wait(clock.monotonicNow() + POLL_RETRY_MILLISECONDS);
-        continue;
       }
-      await this.apply(report, sentAt);
-      // A worker answers immediately while it has unacknowledged ends, so these
-      // are recorded before the next poll.
-      if (this.processedEnd > this.acknowledgedEnd) await this.recordEnds();
     }
     this.link.close();
   }
 
+  private async pollOnce(): Promise<void> {
+    const {clock} = this.options;
+    const sentAt = clock.monotonicNow();
+    const report = await this.poll(sentAt);
+    if (this.isStopped) return;
+    if (!report) {
+      await this.wakeUp.wait(clock.monotonicNow() + POLL_RETRY_MILLISECONDS);
+      return;
+    }
+    await this.apply(report, sentAt);
+    // A worker answers immediately while it has unacknowledged ends, so these
+    // are recorded before the next poll.
+    if (this.processedEnd > this.acknowledgedEnd) await this.recordEnds();
+  }
+
   /**
    * Handles the removal of the worker from the directory. Entries also expire
    * while their worker runs on, so the worker keeps its runs, and is excluded
