--- a/review/lib/cell.mjs
+++ b/review/lib/cell.mjs
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Consumer} from './consumer.mjs';
 import {Daemon} from './daemon.mjs';
+import {Proxy} from './proxy.mjs';
 import {Record} from './record.mjs';
 import {Store} from './store.mjs';
 import {Worker} from './worker.mjs';
@@ -30,6 +31,8 @@
 export class Cell {
   daemons = [];
   workers = [];
+  /** Proxies in front of workers, in their order. */
+  proxies = [];
   /** Starts of runs that the workers have seen, oldest first. */
   starts = [];
   /** Starts that brought a worker over its capacity. */
@@ -74,7 +77,8 @@
     await sleep(2_000);
   }
 
-  async addWorker(id, {capacity, labels = ['a', RACK_LABEL]}) {
+  /** With a proxy, the daemons reach the worker through it. */
+  async addWorker(id, {capacity, labels = ['a', RACK_LABEL], hasProxy}) {
     const worker = new Worker({
       id,
       capacity: {memory_request_mb: 65_536, gpu: 0, ...capacity},
@@ -85,6 +89,11 @@
     });
     this.workers.push(worker);
     await worker.start('127.0.0.1');
+    if (!hasProxy) return;
+    const proxy = new Proxy(worker.address, this.record);
+    await proxy.listen('127.0.0.1');
+    worker.publish(proxy.address);
+    this.proxies.push(proxy);
   }
 
   #noteStart(start) {
@@ -125,6 +134,7 @@
     await Promise.all(this.daemons.map(daemon => daemon.end()));
     for (const consumer of this.#consumers) consumer.close();
     for (const worker of this.workers) worker.stop();
+    for (const proxy of this.proxies) proxy.close();
     this.store.close();
     if (!process.env.KEEP) rmSync(this.#folder, {recursive: true, force: true});
     else this.record.write(`logs are in ${this.#folder}`);
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -30,6 +30,7 @@
   #port = 0;
   #ip;
   #isUp = false;
+  #publishedAddress;
   #sequence = 0;
   #timer;
 
@@ -46,6 +47,12 @@
     return `${this.#ip}:${this.#port}`;
   }
 
+  /** Publishes the address of a proxy in place of the worker's own. */
+  publish(address) {
+    this.#publishedAddress = address;
+    this.#writeEntry();
+  }
+
   get capacity() {
     return this.#capacity;
   }
@@ -75,6 +82,12 @@
     this.#record.write(`worker ${this.id}: crashed`);
   }
 
+  /** The platform removes the entry of a worker that has been silent. */
+  leave() {
+    this.#store.write('keyed.servers', this.id, undefined);
+    this.#record.write(`worker ${this.id}: entry removed`);
+  }
+
   /** Starts a new incarnation under the same id and address. */
   async restart({capacity = this.#capacity, labels = this.#labels} = {}) {
     this.#capacity = {...this.#capacity, ...capacity};
@@ -120,20 +133,7 @@
   async #heartbeat(born) {
     let isFirst = true;
     while (this.#isUp && this.born === born) {
-      this.#sequence++;
-      const isWritten = this.#store.write('keyed.servers', this.id, {
-        service: 'desk',
-        address: this.address,
-        zone: 'zone-1',
-        version: 'v1',
-        slots: 8,
-        state: 'ready',
-        cold_remaining_ms: 0,
-        capacity: this.#capacity,
-        labels: this.#labels,
-        sequence: this.#sequence,
-        born,
-      });
+      const isWritten = this.#writeEntry();
       if (isWritten && isFirst) {
         this.#record.write(`worker ${this.id}: entry of ${born} stored`);
         isFirst = false;
@@ -142,6 +142,24 @@
     }
   }
 
+  /** False while the store is down. */
+  #writeEntry() {
+    this.#sequence++;
+    return this.#store.write('keyed.servers', this.id, {
+      service: 'desk',
+      address: this.#publishedAddress ?? this.address,
+      zone: 'zone-1',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      cold_remaining_ms: 0,
+      capacity: this.#capacity,
+      labels: this.#labels,
+      sequence: this.#sequence,
+      born: this.born,
+    });
+  }
+
   async #serve(request, response, born) {
     const chunks = [];
     request.on('error', () => {});
