Bound what one submission takes, and end the one that cannot be recorded

With 3,000,000 tasks each owner in turn ran out of memory.

The progress of a step was one record (288,168 bytes for 8,000 tasks, the store takes 262,144), so its append was repeated without end. Appends were split by characters instead of bytes. A submission of 25,000 tasks ordered as many starts at once: the owner stalled, lost its shard, and the next one did the same.

Why this works: the progress of a large submission is recorded in ranges of 256 tasks, each bounded, and only changed ones are written. What can never be held is refused at once with the limit, by the host that receives it. A record that the log cannot take is replaced by the ending of its own submission under the same sequence number. Logs of the former version are read and rewritten; the former version leaves the records of large submissions alone.

The random runs and the soak have submissions of very different sizes (--large).

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -1,5 +1,6 @@
 import type {HostRecord} from '@cardamomfield/cell-model';
-import {type Clock} from '@cardamomfield/clock';
+import {SubmissionLimits} from '@cardamomfield/cell-scheduler';
+import type {Clock} from '@cardamomfield/clock';
 import {type TypedError, UnavailableError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
@@ -104,6 +105,7 @@
       peers,
       clock,
       localOwner: () => this.owner,
+      limits: SubmissionLimits.create(settings.limits),
     });
     this.election = OwnerElection.create({
       membership: this.membership,
@@ -315,6 +317,7 @@
       logger,
       metrics,
       timing: settings.timing,
+      limits: settings.limits,
       onLost: () => {
         if (this.owner === owner) this.owner = undefined;
       },
--- a/packages/cell-host/src/cell_settings.ts
+++ b/packages/cell-host/src/cell_settings.ts
@@ -1,4 +1,4 @@
-import type {OwnerTiming} from '@cardamomfield/shard-owner';
+import type {OwnerLimits, OwnerTiming} from '@cardamomfield/shard-owner';
 
 /** Settings of one host, from files or flags. */
 export interface CellSettings {
@@ -16,4 +16,5 @@
   /** Time between a stop request and the kill. */
   graceMilliseconds: number;
   timing: OwnerTiming;
+  limits: OwnerLimits;
 }
--- a/packages/cell-host/src/shard_gateway.test.ts
+++ b/packages/cell-host/src/shard_gateway.test.ts
@@ -1,3 +1,4 @@
+import {SubmissionLimits} from '@cardamomfield/cell-scheduler';
 import {ManualClock} from '@cardamomfield/clock';
 import {UncertainError} from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
@@ -32,6 +33,7 @@
     peers: {call} as unknown as PeerClient,
     clock,
     localOwner: () => undefined,
+    limits: SubmissionLimits.create({recordBytes: 1, memoryBytes: 1}),
   });
   void gateway.show('00000000000000aa', clock.monotonicNow() + 3_000);
   await clock.advance(3_000);
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -3,6 +3,7 @@
   SubmissionSpecification,
   SubmissionState,
 } from '@cardamomfield/cell-model';
+import type {SubmissionLimits} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
 import {
   CancelledError,
@@ -39,6 +40,7 @@
   peers: PeerClient;
   clock: Clock;
   localOwner: () => ShardOwner | undefined;
+  limits: SubmissionLimits;
 }
 
 /**
@@ -57,6 +59,7 @@
   }
 
   /**
+   * `InvalidInputError`: the submission is too large for any owner.
    * `UnavailableError`: the submission was not accepted and is not in flight.
    * `UncertainError`: it may have been accepted or may still be.
    */
@@ -66,6 +69,8 @@
     specification: SubmissionSpecification,
     deadline: number,
   ): Promise<Either<TypedError, unknown>> {
+    const checked = this.options.limits.check(queue, specification);
+    if (checked.isLeft()) return Promise.resolve(checked);
     return this.call(
       owner => owner.submit(id, queue, specification),
       PeerMethod.submit,
--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -154,7 +154,7 @@
 
   /** True when the step's limit per worker allows another task there. */
   private hasPlaces(step: StepState, worker: WorkerState): boolean {
-    return isCheapToName(step) || placesLeft(step, step.countOn(worker.id)) > 0;
+    return isCheapToName(step) || placesLeft(step, step.countOn(worker)) > 0;
   }
 
   /** True when advice should be queried for a step that waits for others. */
@@ -345,12 +345,12 @@
 /** Estimated time until the last task of a step is done, from its progress. */
 function remainingStepMilliseconds(step: StepState | undefined, now: number) {
   if (!step) return 0;
-  return Math.max(
-    0,
-    ...step.tasks
-      .filter(({phase}) => phase !== 'done')
-      .map(task => remainingTaskMilliseconds(step, task, now)),
-  );
+  let longest = 0;
+  for (const task of step.tasks) {
+    if (task.phase === 'done') continue;
+    longest = Math.max(longest, remainingTaskMilliseconds(step, task, now));
+  }
+  return longest;
 }
 
 function remainingTaskMilliseconds(
--- a/packages/cell-scheduler/src/cell_fixture.ts
+++ b/packages/cell-scheduler/src/cell_fixture.ts
@@ -48,8 +48,10 @@
   }
 
   /** Runs one scheduling pass at a monotonic time. */
-  pass(now: number): SchedulingPass {
-    return this.scheduler.pass(now, 0, placement => this.place(placement, now));
+  pass(now: number, maximumPlacements = Infinity): SchedulingPass {
+    return this.scheduler.pass(now, 0, maximumPlacements, placement =>
+      this.place(placement, now),
+    );
   }
 
   /** Ends a run as if its worker had reported the end. */
--- a/packages/cell-scheduler/src/record_codec.ts
+++ b/packages/cell-scheduler/src/record_codec.ts
@@ -1,6 +1,9 @@
 import {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
 import {z} from 'zod';
+import {CompactSpecification} from './compact_specification.js';
 import {EndedSubmission} from './ended_submission.js';
+import {isLargeSubmission} from './is_large_submission.js';
+import type {RecordName} from './record_name.js';
 import {StepProgress} from './step_progress.js';
 import type {StepState} from './step_state.js';
 import {SubmissionRecord} from './submission_record.js';
@@ -8,57 +11,138 @@
 
 const PHASES = ['waiting', 'placed', 'done'] as const;
 
+/** Number of consecutive tasks of a step that share a progress record. */
+const TASKS_PER_RANGE = 256;
+
+/** Prefixes of keys, in the order in which records are restored. */
+const PREFIXES = {
+  ending: 'e/',
+  submission: 's/',
+  /** Progress of a whole step. */
+  progress: 'p/',
+  /** Progress of a range of a step's tasks. */
+  range: 'r/',
+} as const;
+
 const SubmissionValue = z.object({
   queue: Queue,
   specification: SubmissionSpecification,
   acceptedAt: z.number(),
 });
 
-/** Encodes and decodes the keys and values of a shard's records. */
+const CompactSubmissionValue = z.object({
+  queue: Queue,
+  compact: CompactSpecification,
+  acceptedAt: z.number(),
+});
+
+/**
+ * Encodes and decodes the keys and values of a shard's records.
+ *
+ * The progress of a small submission takes one record a step. In a large one it
+ * is recorded in ranges of tasks, so that no record outgrows the log's limit.
+ * Its own record has a form that versions without ranges do not read, and so
+ * leave unchanged together with the ranges.
+ */
 export class RecordCodec {
+  static get prefixes(): string[] {
+    return Object.values(PREFIXES);
+  }
+
   static submissionKey(id: string): string {
-    return `s/${id}`;
+    return `${PREFIXES.submission}${id}`;
   }
 
   static endingKey(id: string): string {
-    return `e/${id}`;
+    return `${PREFIXES.ending}${id}`;
+  }
+
+  /** Key of the record that holds the progress of a task. */
+  static progressKey(step: StepState, task: TaskState): string {
+    if (!step.submission.isLarge) return `${PREFIXES.progress}${step.name}`;
+    return rangeKey(step, Math.floor(task.index / TASKS_PER_RANGE));
   }
 
-  static progressKey(step: StepState): string {
-    return `p/${step.name}`;
+  /** Keys of all records that hold the progress of a step. */
+  static progressKeys(step: StepState): string[] {
+    if (!step.submission.isLarge) return [`${PREFIXES.progress}${step.name}`];
+    const count = Math.ceil(step.tasks.length / TASKS_PER_RANGE);
+    return Array.from({length: count}, (_, range) => rangeKey(step, range));
+  }
+
+  /** Undefined for the key of another kind of record. */
+  static parseKey(key: string): RecordName | undefined {
+    const entry = Object.entries(PREFIXES).find(([, prefix]) =>
+      key.startsWith(prefix),
+    );
+    if (!entry) return undefined;
+    const [kind, prefix] = entry as [RecordName['kind'], string];
+    const parts = key.slice(prefix.length).split('.');
+    const [id = '', occurrence, step, range] = parts;
+    return {
+      kind,
+      id,
+      occurrence: Number(occurrence),
+      step: Number(step),
+      range: Number(range ?? 0),
+    };
   }
 
   static encodeSubmission(submission: SubmissionRecord): string {
-    return JSON.stringify({
-      queue: submission.queue,
-      specification: submission.specification,
-      acceptedAt: submission.acceptedAtUnixMilliseconds,
-    });
+    return encodeSpecification(
+      submission.queue,
+      submission.specification,
+      submission.acceptedAtUnixMilliseconds,
+    );
+  }
+
+  /** Bytes that the record of a submission has at most, with its key. */
+  static largestSubmissionBytes(
+    queue: Queue,
+    specification: SubmissionSpecification,
+  ): number {
+    const key = RecordCodec.submissionKey('0'.repeat(16));
+    const value = encodeSpecification(
+      queue,
+      specification,
+      Number.MAX_SAFE_INTEGER,
+    );
+    return Buffer.byteLength(key) + Buffer.byteLength(value);
   }
 
   static encodeEnding(ended: EndedSubmission): string {
     return JSON.stringify(ended);
   }
 
-  static encodeProgress(step: StepState): string {
+  /** The progress of a step or of one range of its tasks. */
+  static encodeProgress(
+    step: StepState,
+    range = 0,
+    includesCheckpoints = true,
+  ): string {
+    const tasks = tasksOf(step, range);
     const progress: StepProgress = {
       gangAttempt: step.gangAttempt,
       gangFailures: step.gangFailures,
-      tasks: step.tasks.map(encodeTask),
-      addresses: addressesOf(step),
+      tasks: tasks.map(task => encodeTask(task, includesCheckpoints)),
+      addresses: addressesOf(tasks),
     };
     return JSON.stringify(progress);
   }
 
   /** Throws when the value does not match its schema. */
   static decodeSubmission(id: string, value: string): SubmissionRecord {
-    const decoded = SubmissionValue.parse(JSON.parse(value));
-    return SubmissionRecord.create(
-      id,
-      decoded.queue,
-      decoded.specification,
-      decoded.acceptedAt,
-    );
+    const json: unknown = JSON.parse(value);
+    const compact = CompactSubmissionValue.safeParse(json);
+    const {queue, specification, acceptedAt} = compact.success
+      ? {...compact.data, specification: compact.data.compact}
+      : SubmissionValue.parse(json);
+    return SubmissionRecord.create(id, queue, specification, acceptedAt);
+  }
+
+  /** True if the record of a submission has the form of a small one. */
+  static hasSmallForm(value: string): boolean {
+    return SubmissionValue.safeParse(JSON.parse(value)).success;
   }
 
   /** Throws when the value does not match its schema. */
@@ -67,14 +151,15 @@
   }
 
   /** Throws when the value does not match its schema. */
-  static applyProgress(step: StepState, value: string): void {
+  static applyProgress(step: StepState, value: string, firstTask = 0): void {
     const progress = StepProgress.parse(JSON.parse(value));
-    step.gangAttempt = progress.gangAttempt;
-    step.gangFailures = progress.gangFailures;
+    step.gangAttempt = Math.max(step.gangAttempt, progress.gangAttempt);
+    step.gangFailures = Math.max(step.gangFailures, progress.gangFailures);
     progress.tasks.forEach((row, index) => {
-      const task = step.tasks[index];
+      const task = step.tasks[firstTask + index];
       if (!task) return;
       const [phase, attempt, failures, workerId, bornAt, checkpoint] = row;
+      const wasDone = task.phase === 'done';
       task.phase = PHASES[phase] ?? 'waiting';
       task.attempt = attempt;
       task.failures = failures;
@@ -83,14 +168,41 @@
       task.workerAddress = progress.addresses?.[workerId] ?? '';
       task.checkpoint = checkpoint;
       if (attempt > 0) step.submission.hasStarted = true;
+      step.doneCount += Number(task.phase === 'done') - Number(wasDone);
     });
-    step.doneCount = step.tasks.filter(task => task.phase === 'done').length;
   }
+
+  /** Index of the first task of a range. */
+  static firstTaskOf(range: number): number {
+    return range * TASKS_PER_RANGE;
+  }
+}
+
+function rangeKey(step: StepState, range: number): string {
+  return `${PREFIXES.range}${step.name}.${range}`;
+}
+
+function tasksOf(step: StepState, range: number): TaskState[] {
+  if (!step.submission.isLarge) return step.tasks;
+  const first = RecordCodec.firstTaskOf(range);
+  return step.tasks.slice(first, first + TASKS_PER_RANGE);
+}
+
+function encodeSpecification(
+  queue: Queue,
+  specification: SubmissionSpecification,
+  acceptedAt: number,
+): string {
+  if (!isLargeSubmission(specification)) {
+    return JSON.stringify({queue, specification, acceptedAt});
+  }
+  const compact = CompactSpecification.encode(specification);
+  return JSON.stringify({queue, compact, acceptedAt});
 }
 
-function addressesOf(step: StepState): Record<string, string> {
+function addressesOf(tasks: TaskState[]): Record<string, string> {
   const newest = new Map<string, TaskState>();
-  for (const task of step.tasks) {
+  for (const task of tasks) {
     if (task.phase !== 'placed') continue;
     const other = newest.get(task.workerId);
     if (!other || task.workerBornAt > other.workerBornAt) {
@@ -104,7 +216,10 @@
   return addresses;
 }
 
-function encodeTask(task: TaskState): StepProgress['tasks'][number] {
+function encodeTask(
+  task: TaskState,
+  includesCheckpoint: boolean,
+): StepProgress['tasks'][number] {
   const isPlaced = task.phase === 'placed';
   return [
     PHASES.indexOf(task.phase),
@@ -112,6 +227,6 @@
     task.failures,
     isPlaced ? task.workerId : '',
     isPlaced ? task.workerBornAt : 0,
-    task.checkpoint,
+    includesCheckpoint ? task.checkpoint : '',
   ];
 }
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -44,11 +44,13 @@
 
   /**
    * Processes the waiting steps once. `place` is called for each placement and
-   * must take the worker's capacity before it returns.
+   * must take the worker's capacity before it returns. Only a gang, which is
+   * placed as a whole, may exceed the maximum number of placements.
    */
   pass(
     now: number,
     nowUnixMilliseconds: number,
+    maximumPlacements: number,
     place: (placement: Placement) => void,
   ): SchedulingPass {
     this.unplaceable = UnplaceableShapes.create();
@@ -60,8 +62,10 @@
         step.tasks.some(task => isWaiting(task, now)),
     );
     // A task's waiting time counts from the first pass that finds it ready.
-    for (const task of ready.flatMap(step => step.tasks)) {
-      if (task.notBefore === 0) task.notBefore = now;
+    for (const {tasks} of ready) {
+      for (const task of tasks) {
+        if (task.notBefore === 0) task.notBefore = now;
+      }
     }
     const result: SchedulingPass = {
       placements: [],
@@ -71,7 +75,7 @@
     };
     for (const step of this.order.sort(ready, nowUnixMilliseconds)) {
       this.isolateFault(step, now, result, () =>
-        this.placeStep(step, now, result, place),
+        this.placeStep(step, now, result, maximumPlacements, place),
       );
     }
     this.queryAhead(now, nowUnixMilliseconds, result);
@@ -100,19 +104,31 @@
     step: StepState,
     now: number,
     result: SchedulingPass,
+    maximumPlacements: number,
     place: (placement: Placement) => void,
   ): void {
+    const room = maximumPlacements - result.placements.length;
+    if (room <= 0) return;
     const needsAdvice = step.submission.queue.advice !== undefined;
     const workers = needsAdvice
       ? this.ticketedWorkers(step, now)
       : this.serviceWorkers(step);
     const waiting = step.tasks.filter(task => isWaiting(task, now));
+    const wanted = step.specification.isGang
+      ? waiting.length
+      : Math.min(waiting.length, room);
     const placed = step.specification.isGang
       ? this.placeGang(step, waiting, workers, now)
-      : this.placeSeparately(step, waiting, workers, now, place);
+      : this.placeSeparately(
+          step,
+          waiting.slice(0, wanted),
+          workers,
+          now,
+          place,
+        );
     if (step.specification.isGang) placed.forEach(place);
-    result.placements.push(...placed);
-    if (placed.length === waiting.length) return;
+    for (const placement of placed) result.placements.push(placement);
+    if (placed.length === wanted) return;
     if (needsAdvice) {
       const query = this.advice.queryFor(
         step,
--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -2,6 +2,9 @@
 import type {EndedSubmission} from './ended_submission.js';
 import {RecordCodec} from './record_codec.js';
 import type {StepState} from './step_state.js';
+import type {RecordName} from './record_name.js';
+import type {RestoredKeys} from './restored_keys.js';
+import type {SubmissionLimits} from './submission_limits.js';
 import type {SubmissionRecord} from './submission_record.js';
 import type {WorkerState} from './worker_state.js';
 
@@ -14,6 +17,8 @@
   /** Completed submissions whose ending is not durable yet. */
   readonly completing = new Set<string>();
   readonly workers = new Map<string, WorkerState>();
+  /** Estimated heap that all unfinished submissions take. */
+  private usedMemoryBytes = 0;
 
   private constructor() {}
 
@@ -21,12 +26,18 @@
     return new ShardState();
   }
 
+  get memoryBytes(): number {
+    return this.usedMemoryBytes;
+  }
+
   add(submission: SubmissionRecord): void {
     this.submissions.set(submission.id, submission);
+    this.usedMemoryBytes += submission.memoryBytes;
   }
 
   remove(submission: SubmissionRecord): void {
-    this.submissions.delete(submission.id);
+    if (!this.submissions.delete(submission.id)) return;
+    this.usedMemoryBytes -= submission.memoryBytes;
   }
 
   /** Drops a submission and keeps only how and when it ended. */
@@ -36,7 +47,7 @@
     nowUnixMilliseconds: number,
   ): void {
     submission.ending = ending;
-    this.submissions.delete(submission.id);
+    this.remove(submission);
     this.ended.set(submission.id, {
       ending,
       endedAtUnixMilliseconds: nowUnixMilliseconds,
@@ -95,30 +106,29 @@
     return count;
   }
 
-  /**
-   * Rebuilds submissions from durable records. Returns the keys of records that
-   * could not be read, which remain in the log, and of obsolete records, whose
-   * submissions have ended.
-   */
-  restore(records: ReadonlyMap<string, string>): {
-    unreadable: string[];
-    obsolete: string[];
-  } {
-    const unreadable: string[] = [];
-    const obsolete: string[] = [];
-    for (const prefix of ['e/', 's/', 'p/']) {
+  /** Rebuilds submissions from durable records. */
+  restore(
+    records: ReadonlyMap<string, string>,
+    limits: SubmissionLimits,
+  ): RestoredKeys {
+    const restored: RestoredKeys = {
+      unreadable: [],
+      obsolete: [],
+      oversized: [],
+      outdated: [],
+    };
+    for (const prefix of RecordCodec.prefixes) {
       for (const [key, value] of records) {
         if (!key.startsWith(prefix)) continue;
-        const outcome = this.restoreRecord(key, value);
-        if (outcome === 'unreadable') unreadable.push(key);
-        if (outcome === 'obsolete') obsolete.push(key);
+        this.restoreRecord(key, value, limits, restored);
       }
     }
     for (const submission of this.submissions.values()) {
       submission.isAccepted = true;
+      for (const step of submission.occurrences.flat()) step.reconcileGang();
     }
     this.sortEnded();
-    return {unreadable, obsolete};
+    return restored;
   }
 
   private sortEnded(): void {
@@ -132,29 +142,62 @@
   private restoreRecord(
     key: string,
     value: string,
-  ): 'restored' | 'unreadable' | 'obsolete' {
+    limits: SubmissionLimits,
+    restored: RestoredKeys,
+  ): void {
     try {
-      const name = key.slice(2);
-      const [id = '', occurrence, index] = name.split('.');
-      if (key.startsWith('e/')) {
+      const name = RecordCodec.parseKey(key);
+      if (!name) return;
+      const {kind, id} = name;
+      if (kind === 'ending') {
         this.ended.set(id, RecordCodec.decodeEnding(value));
-        return 'restored';
-      }
-      if (this.ended.has(id)) return 'obsolete';
-      if (key.startsWith('s/')) {
-        this.add(RecordCodec.decodeSubmission(id, value));
-        return 'restored';
+      } else if (this.ended.has(id)) {
+        restored.obsolete.push(key);
+      } else if (kind === 'submission') {
+        this.restoreSubmission(id, value, limits, restored);
+      } else {
+        const isApplied = this.restoreProgress(name, value, restored);
+        if (!isApplied) restored.obsolete.push(key);
       }
-      const submission = this.submissions.get(id);
-      if (!submission) return 'obsolete';
-      const step = submission.stepsOf(Number(occurrence))[Number(index)];
-      if (!step) return 'unreadable';
-      RecordCodec.applyProgress(step, value);
-      return 'restored';
     } catch {
       // The caller logs the key and leaves the record unchanged.
-      return 'unreadable';
+      restored.unreadable.push(key);
+    }
+  }
+
+  private restoreSubmission(
+    id: string,
+    value: string,
+    limits: SubmissionLimits,
+    restored: RestoredKeys,
+  ): void {
+    const submission = RecordCodec.decodeSubmission(id, value);
+    if (limits.check(submission.queue, submission.specification).isLeft()) {
+      restored.oversized.push(id);
+      return;
     }
+    this.add(submission);
+    if (submission.isLarge && RecordCodec.hasSmallForm(value)) {
+      restored.outdated.push(id);
+    }
+  }
+
+  /** Returns false if the record does not hold the progress of a step. */
+  private restoreProgress(
+    {kind, id, occurrence, step: index, range}: RecordName,
+    value: string,
+    {outdated}: RestoredKeys,
+  ): boolean {
+    const submission = this.submissions.get(id);
+    if (!submission) return false;
+    // An earlier version wrote the progress of whole steps together with a
+    // submission of the small form; ranges then stem from before.
+    const hasRanges = submission.isLarge && !outdated.includes(id);
+    if ((kind === 'range') !== hasRanges) return false;
+    const step = submission.stepsOf(occurrence)[index];
+    if (!step) throw new RangeError(`step ${index} does not exist`);
+    RecordCodec.applyProgress(step, value, RecordCodec.firstTaskOf(range));
+    return true;
   }
 }
 
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -2,6 +2,7 @@
 import {StepAdvice} from './step_advice.js';
 import type {SubmissionRecord} from './submission_record.js';
 import {TaskState} from './task_state.js';
+import type {WorkerState} from './worker_state.js';
 
 /** One step of one occurrence of a submission. */
 export class StepState {
@@ -59,11 +60,25 @@
     return this.tasks.every(task => task.phase !== 'waiting');
   }
 
+  /**
+   * Makes the members of a gang alike. Their records may stem from different
+   * appends, of which the last owner completed only the first.
+   */
+  reconcileGang(): void {
+    if (!this.specification.isGang) return;
+    const checkpoint = this.tasks.find(task => task.checkpoint !== '');
+    for (const task of this.tasks) {
+      if (this.doneCount > 0) task.phase = 'done';
+      task.checkpoint = checkpoint?.checkpoint ?? '';
+    }
+    if (this.doneCount > 0) this.doneCount = this.tasks.length;
+  }
+
   /** Number of tasks placed on the given worker. */
-  countOn(workerId: string): number {
+  countOn(worker: WorkerState): number {
     let count = 0;
-    for (const task of this.tasks) {
-      if (task.run?.workerId === workerId) count++;
+    for (const run of worker.runs.values()) {
+      if (run.step === this) count++;
     }
     return count;
   }
--- a/packages/cell-scheduler/src/submission_record.ts
+++ b/packages/cell-scheduler/src/submission_record.ts
@@ -1,5 +1,7 @@
 import type {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
 import type {EndedSubmission} from './ended_submission.js';
+import {estimateMemoryBytes} from './estimate_memory_bytes.js';
+import {isLargeSubmission} from './is_large_submission.js';
 import {StepState} from './step_state.js';
 
 /** One accepted submission and the progress of its steps. */
@@ -10,13 +12,20 @@
   hasStarted = false;
   /** True once the record is durable, so that it is visible to callers. */
   isAccepted = false;
+  /** True if the progress of its steps is recorded in ranges of tasks. */
+  readonly isLarge: boolean;
+  /** Estimated heap that the submission takes. */
+  readonly memoryBytes: number;
 
   private constructor(
     readonly id: string,
     readonly queue: Queue,
     readonly specification: SubmissionSpecification,
     readonly acceptedAtUnixMilliseconds: number,
-  ) {}
+  ) {
+    this.isLarge = isLargeSubmission(specification);
+    this.memoryBytes = estimateMemoryBytes(specification);
+  }
 
   static create(
     id: string,
--- a/packages/cell-scheduler/src/worker_choice.ts
+++ b/packages/cell-scheduler/src/worker_choice.ts
@@ -38,7 +38,7 @@
   isEligible(step: StepState, worker: WorkerState, now: number): boolean {
     if (!this.isOpenTo(step, worker, now)) return false;
     const {maximumPerWorker} = step.specification;
-    return maximumPerWorker === 0 || step.countOn(worker.id) < maximumPerWorker;
+    return maximumPerWorker === 0 || step.countOn(worker) < maximumPerWorker;
   }
 
   /**
@@ -66,7 +66,7 @@
   /** True when another task of the step may be placed on the worker. */
   mayTakeMore(step: StepState, worker: WorkerState): boolean {
     const {maximumPerWorker} = step.specification;
-    if (maximumPerWorker > 0 && step.countOn(worker.id) >= maximumPerWorker) {
+    if (maximumPerWorker > 0 && step.countOn(worker) >= maximumPerWorker) {
       return false;
     }
     return this.hasCapacity(step, worker);
--- a/packages/cell-stand-ins/src/host_overrides.ts
+++ b/packages/cell-stand-ins/src/host_overrides.ts
@@ -1,5 +1,6 @@
 import type {Adviser, ShardLog, WorkerLink} from '@cardamomfield/cell-model';
 import type {Logger} from '@cardamomfield/logger';
+import type {OwnerLimits} from '@cardamomfield/shard-owner';
 
 /**
  * Replaces parts of a simulated host, to observe its calls or to inject a
@@ -20,6 +21,8 @@
   sendsOverdueCalls?: boolean;
   /** Receives what owners log; nothing does by default. */
   logger?: Logger;
+  /** Limits of the owner that differ from those of the store. */
+  limits?: Partial<OwnerLimits>;
   wrapLink?: (link: WorkerLink) => WorkerLink;
   /** Client of the advice service; without one, no host queries advice. */
   adviser?: Adviser;
--- a/packages/cell-stand-ins/src/main.ts
+++ b/packages/cell-stand-ins/src/main.ts
@@ -22,6 +22,11 @@
     describe:
       'workers also drain, pause, lose their entries and kill runs slowly',
   })
+  .option('large', {
+    type: 'boolean',
+    default: false,
+    describe: 'submissions have very different numbers of tasks',
+  })
   .strict()
   .parse();
 
@@ -49,6 +54,7 @@
   }
   const {violations, completed} = await OwnershipSimulation.run(seed, {
     drainsWorkers: options.drains,
+    submitsLargeWork: options.large,
   });
   count += completed;
   return violations;
--- a/packages/cell-stand-ins/src/memory_shard_log.ts
+++ b/packages/cell-stand-ins/src/memory_shard_log.ts
@@ -2,6 +2,7 @@
 import type {ManualClock, RandomSource} from '@cardamomfield/clock';
 import {
   ConflictError,
+  InvalidInputError,
   type TypedError,
   UnavailableError,
   UncertainError,
@@ -69,6 +70,9 @@
         }),
       );
     }
+    if (result === 'too-large') {
+      return Left(InvalidInputError.create('the records are too large'));
+    }
     return Left(ConflictError.create('a higher epoch was seen'));
   }
 
--- a/packages/cell-stand-ins/src/memory_shard_store.ts
+++ b/packages/cell-stand-ins/src/memory_shard_store.ts
@@ -1,11 +1,14 @@
 import type {ShardRecord} from '@cardamomfield/cell-model';
 
 /** Outcome of an append at the store. */
-type AppendResult = 'appended' | 'fenced' | 'out-of-order';
+type AppendResult = 'appended' | 'fenced' | 'out-of-order' | 'too-large';
 
 /** Number of most recent appends whose repeats the store recognises. */
 const REPEAT_WINDOW = 5;
 
+/** Largest record and largest append that the store accepts, in bytes. */
+const LIMITS = {recordBytes: 262_144, requestBytes: 2_097_152};
+
 /**
  * Server side of a shard's log: the newest record of each key, the epoch and
  * the last sequence number.
@@ -16,6 +19,8 @@
   private lastSequence = 0;
   /** While true, the store is unavailable to every host. */
   isDown = false;
+  /** Number of appends refused for their size. */
+  refusals = 0;
 
   private constructor() {}
 
@@ -28,6 +33,16 @@
     epoch: number,
     sequence: number,
   ): AppendResult {
+    const sizes = records.map(
+      ({key, value}) => 1 + Buffer.byteLength(key) + Buffer.byteLength(value),
+    );
+    if (
+      sizes.some(bytes => bytes > LIMITS.recordBytes) ||
+      sizes.reduce((sum, bytes) => sum + bytes, 0) > LIMITS.requestBytes
+    ) {
+      this.refusals++;
+      return 'too-large';
+    }
     if (epoch < this.epoch) return 'fenced';
     if (epoch === this.epoch) {
       const ahead = sequence - this.lastSequence;
--- a/packages/cell-stand-ins/src/ownership_simulation.test.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.test.ts
@@ -32,6 +32,8 @@
  */
 const DRAIN_SEEDS = [5, 15, 20, 74, 92, 153, 242, 249, 282, 296, 401, 429, 498];
 
+const LARGE_WORK_SEEDS = [1, 2];
+
 /** Rare faults need many simulations before one of them reveals a defect. */
 const DEFECT_SEEDS = 1_000;
 
@@ -61,6 +63,17 @@
     expect(completed).toBeGreaterThan(SEEDS.length);
   });
 
+  // Guards against records, appends and bursts of starts that grow with the
+  // number of tasks until no owner can work.
+  it('upholds its guarantees with submissions of very different sizes', async () => {
+    for (const seed of LARGE_WORK_SEEDS) {
+      const {violations} = await OwnershipSimulation.run(seed, {
+        submitsLargeWork: true,
+      });
+      expect({seed, violations}).toEqual({seed, violations: []});
+    }
+  });
+
   it('upholds its guarantees on seeds that once violated one', async () => {
     for (const seed of [...REGRESSION_SEEDS, ...OVERDUE_START_SEEDS]) {
       const {violations} = await OwnershipSimulation.run(seed);
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -16,6 +16,12 @@
 /** Delay of the answers of a slow store. */
 const SLOW_ANSWER_MILLISECONDS = 300;
 
+/** Room that lets the workers take large submissions at once. */
+const LARGE_WORKER_MILLICORES = 1_500_000;
+
+/** Numbers of tasks a step of large work; owners refuse the last. */
+const LARGE_TASK_COUNTS = [1, 3, 200, 600, 1_500, 3_000_000];
+
 const ACTION_COUNT = 120;
 const LONGEST_INTERVAL_MILLISECONDS = 500;
 
@@ -45,6 +51,8 @@
    * from all hosts and pause, and need time to kill their runs.
    */
   drainsWorkers?: boolean;
+  /** Whether submissions have very different numbers of tasks. */
+  submitsLargeWork?: boolean;
 }
 
 interface OwnershipSimulationResult {
@@ -87,7 +95,9 @@
         id,
         MemoryCellWorker.create({
           id,
-          milliCores: WORKER_MILLICORES,
+          milliCores: options.submitsLargeWork
+            ? LARGE_WORKER_MILLICORES
+            : WORKER_MILLICORES,
           virtualClock: this.virtualClock,
           random: this.random,
           ledger: this.ledger,
@@ -266,7 +276,9 @@
     const id = this.submitted.toString(16).padStart(16, '0');
     this.submitted++;
     const {queue, specification} = createSubmission(
-      1 + this.random.integerBelow(3),
+      this.options.submitsLargeWork
+        ? this.pick(LARGE_TASK_COUNTS)
+        : 1 + this.random.integerBelow(3),
     );
     void owner.submit(id, queue, specification).then(result => {
       if (result.isRight()) this.accepted.add(id);
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -23,6 +23,12 @@
   keepEndedMilliseconds: 600_000,
 };
 
+const LIMITS = {
+  recordBytes: 262_144,
+  requestBytes: 2_097_152,
+  memoryBytes: 90_000_000,
+};
+
 interface SimulatedOwnerHostOptions {
   name: string;
   store: MemoryShardStore;
@@ -92,6 +98,7 @@
       logger: logger ?? SilentLogger.create(),
       metrics: MemoryMetrics.create(),
       timing: {...TIMING, ...(stopMilliseconds && {stopMilliseconds})},
+      limits: {...LIMITS, ...this.options.overrides.limits},
       onLost: () => {
         if (this.owner === owner) this.owner = undefined;
       },
--- a/packages/shard-owner/src/busy_owner.test.ts
+++ b/packages/shard-owner/src/busy_owner.test.ts
@@ -34,6 +34,8 @@
     nextSequence: 1,
     provedAt: clock.monotonicNow(),
     encode: () => '',
+    limits: {recordBytes: 262_144, requestBytes: 2_097_152},
+    replace: key => ({key, value: ''}),
     onLost: () => {},
   });
   let passes = 0;
--- a/packages/shard-owner/src/run_tracker.ts
+++ b/packages/shard-owner/src/run_tracker.ts
@@ -66,7 +66,8 @@
     task.workerBornAt = worker.description.bornAtUnixMilliseconds;
     task.workerAddress = worker.description.address;
     worker.add(run);
-    this.markStep(step);
+    this.options.journal.mark(RecordCodec.progressKey(step, task));
+    this.options.onChange();
     return run;
   }
 
@@ -91,8 +92,8 @@
     } else {
       this.requeue(task, RETRY_DELAY_MILLISECONDS);
     }
-    this.markStep(step);
-    this.checkSubmission(step);
+    this.markTask(step, task);
+    this.checkSubmission(step, task);
   }
 
   /**
@@ -106,7 +107,7 @@
     if (!isCurrent || task.phase === 'done') return;
     this.logLoss(run, reason);
     this.requeue(task, delayMilliseconds);
-    this.markStep(step);
+    this.markTask(step, task);
     if (step.specification.isGang) this.stopRuns(step);
   }
 
@@ -151,8 +152,12 @@
     return run;
   }
 
-  markStep(step: StepState): void {
-    this.options.journal.mark(RecordCodec.progressKey(step));
+  /** Marks the record of a task. The members of a gang change together. */
+  markTask(step: StepState, task: TaskState): void {
+    const keys = step.specification.isGang
+      ? RecordCodec.progressKeys(step)
+      : [RecordCodec.progressKey(step, task)];
+    for (const key of keys) this.options.journal.mark(key);
     this.options.onChange();
   }
 
@@ -176,9 +181,10 @@
     if (!step.specification.isGang) return task.attempt + 1;
     // All members of a gang share one attempt number. The first member that is
     // placed raises it.
-    const highest = Math.max(...step.tasks.map(member => member.attempt));
-    const hasPlaced = step.tasks.some(member => member.run);
-    step.gangAttempt = hasPlaced ? step.gangAttempt : highest + 1;
+    if (!step.tasks.some(member => member.run)) {
+      const attempts = step.tasks.map(member => member.attempt);
+      step.gangAttempt = attempts.reduce((a, b) => Math.max(a, b), 0) + 1;
+    }
     return step.gangAttempt;
   }
 
@@ -200,8 +206,10 @@
   private markDone(step: StepState, task: TaskState): void {
     // A gang is done as soon as one of its members is done.
     const done = step.specification.isGang ? step.tasks : [task];
-    for (const member of done) member.phase = 'done';
-    step.doneCount = step.tasks.filter(each => each.phase === 'done').length;
+    for (const member of done) {
+      if (member.phase !== 'done') step.doneCount++;
+      member.phase = 'done';
+    }
   }
 
   private countFailure(run: Run, end: RunEnd): void {
@@ -222,13 +230,10 @@
     );
   }
 
-  private checkSubmission(step: StepState): void {
+  private checkSubmission(step: StepState, task: TaskState): void {
     const {submission} = step;
     if (submission.ending) return;
-    const failures = Math.max(
-      step.gangFailures,
-      ...step.tasks.map(task => task.failures),
-    );
+    const failures = Math.max(step.gangFailures, task.failures);
     if (
       !step.specification.isService &&
       failures >= submission.queue.maximumAttempts
@@ -262,7 +267,7 @@
     journal.mark(RecordCodec.endingKey(submission.id));
     journal.mark(RecordCodec.submissionKey(submission.id));
     for (const step of submission.occurrences.flat()) {
-      journal.mark(RecordCodec.progressKey(step));
+      for (const key of RecordCodec.progressKeys(step)) journal.mark(key);
     }
   }
 }
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -3,6 +3,7 @@
 import {
   CancelledError,
   ConflictError,
+  InvalidInputError,
   type TypedError,
 } from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
@@ -25,8 +26,17 @@
 /** Delay after a failed call; short compared with the validity of a proof. */
 const RETRY_DELAY_MILLISECONDS = 60;
 
-/** Maximum size of one append: half of what the log accepts in one call. */
-const MAXIMUM_BATCH_BYTES = 1_000_000;
+/** Maximum size of one append, as a share of what the log accepts in a call. */
+const BATCH_SHARE = 0.5;
+
+/** Bytes that a log may add to a record, for the lengths of key and value. */
+const RECORD_OVERHEAD_BYTES = 16;
+
+/** The log refuses an append this often before a record of it is replaced. */
+const REFUSALS_BEFORE_REPLACEMENT = 3;
+
+/** Every log accepts records up to this size. */
+const ALWAYS_ACCEPTED_BYTES = 16_384;
 
 /** The log counts as down once a call has not succeeded for this long. */
 const LOG_DOWN_MILLISECONDS = 600;
@@ -62,6 +72,8 @@
   /** Monotonic time at which it was first sent. */
   sentAt: number;
   isDone: boolean;
+  /** How often the log has refused the records themselves. */
+  refusals: number;
   /** All batches up to this one are durable once the append succeeds. */
   completedBatch: number;
 }
@@ -71,6 +83,13 @@
   resolve: (result: Either<TypedError, void>) => void;
 }
 
+interface LogLimits {
+  /** Largest record that the log accepts, in bytes. */
+  recordBytes: number;
+  /** Largest append that the log accepts, in bytes. */
+  requestBytes: number;
+}
+
 interface ShardJournalOptions {
   log: ShardLog;
   clock: Clock;
@@ -83,6 +102,12 @@
   provedAt: number;
   /** The current value of a key. An empty value removes the key. */
   encode: (key: string) => string;
+  limits: LogLimits;
+  /**
+   * Gives up the work that a record belongs to, because the log cannot take the
+   * record. Returns the record to append instead.
+   */
+  replace: (key: string) => ShardRecord;
   onLost: () => void;
 }
 
@@ -302,6 +327,7 @@
         sequence: this.nextSequence++,
         sentAt: this.options.clock.monotonicNow(),
         isDone: false,
+        refusals: 0,
         completedBatch: index === chunks.length - 1 ? batch : batch - 1,
       };
       this.pendingAppends.push(pending);
@@ -333,10 +359,36 @@
         );
       } else if (await this.handleOutcome(result, sentAt, pausesBefore)) {
         this.complete(pending);
+      } else if (result.extract() instanceof InvalidInputError) {
+        this.handleRefusal(pending, result.extract() as TypedError);
       }
     }
   }
 
+  /**
+   * Replaces the largest record of an append that the log refuses time and
+   * again: the append keeps its sequence number, since later ones follow it.
+   */
+  private handleRefusal(pending: PendingAppend, error: TypedError): void {
+    pending.refusals++;
+    if (pending.refusals % REFUSALS_BEFORE_REPLACEMENT !== 0) return;
+    const sizes = pending.records.map(recordBytes);
+    const largest = sizes.indexOf(Math.max(...sizes));
+    const record = pending.records[largest];
+    const bytes = sizes[largest] ?? 0;
+    const isAtFault = record !== undefined && bytes > ALWAYS_ACCEPTED_BYTES;
+    this.options.logger.error('shard log refuses an append', {
+      epoch: this.epoch,
+      records: pending.records.length,
+      largestKey: record?.key,
+      largestBytes: bytes,
+      isReplaced: isAtFault,
+      cause: error.message,
+    });
+    if (!isAtFault) return;
+    pending.records[largest] = this.options.replace(record.key);
+  }
+
   /** Appends apply in order: a success implies that of all earlier ones. */
   private complete(newest: PendingAppend): void {
     const index = this.pendingAppends.indexOf(newest);
@@ -354,27 +406,42 @@
    * than the removal.
    */
   private takeChunks(): ShardRecord[][] {
-    const records = [...this.changedKeys].map(key => ({
-      key,
-      value: this.options.encode(key),
-    }));
+    const keys = [...this.changedKeys];
+    // A replacement marks further keys, which belong to the next batch.
     this.changedKeys.clear();
+    const records = keys.map(key => this.recordOf(key));
+    const maximumBytes = this.options.limits.requestBytes * BATCH_SHARE;
     const chunks: ShardRecord[][] = [[]];
     let bytes = 0;
     for (const record of [
       ...records.filter(({value}) => value !== ''),
       ...records.filter(({value}) => value === ''),
     ]) {
-      if (bytes > 0 && bytes + record.value.length > MAXIMUM_BATCH_BYTES) {
+      const size = recordBytes(record);
+      if (bytes > 0 && bytes + size > maximumBytes) {
         chunks.push([]);
         bytes = 0;
       }
-      bytes += record.value.length + record.key.length;
+      bytes += size;
       chunks.at(-1)?.push(record);
     }
     return chunks;
   }
 
+  /** The newest value of a key, or its replacement if that is too large. */
+  private recordOf(key: string): ShardRecord {
+    const record = {key, value: this.options.encode(key)};
+    const bytes = recordBytes(record);
+    const {recordBytes: maximumBytes} = this.options.limits;
+    if (bytes <= maximumBytes) return record;
+    this.options.logger.error('record too large for the shard log', {
+      key,
+      bytes,
+      maximumBytes,
+    });
+    return this.options.replace(key);
+  }
+
   /** Handles the outcome of a call; false means that it is to be repeated. */
   private async handleOutcome(
     result: Either<TypedError, void>,
@@ -473,6 +540,12 @@
   }
 }
 
+function recordBytes({key, value}: ShardRecord): number {
+  return (
+    Buffer.byteLength(key) + Buffer.byteLength(value) + RECORD_OVERHEAD_BYTES
+  );
+}
+
 function isOutOfOrder(result: Either<TypedError, void>): boolean {
   if (result.isRight()) return false;
   return (result.extract() as TypedError).details.isOutOfOrder === true;
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -1,6 +1,7 @@
 import type {
   Queue,
   ShardLog,
+  ShardRecord,
   SubmissionSpecification,
   SubmissionState,
   WorkerDescription,
@@ -16,11 +17,14 @@
   type SchedulingPass,
   ShardState,
   StallPolicy,
+  type StepState,
+  SubmissionLimits,
   SubmissionRecord,
   WorkerChoice,
 } from '@cardamomfield/cell-scheduler';
 import {type Clock, Notifier} from '@cardamomfield/clock';
 import {
+  InvalidInputError,
   NotFoundError,
   type TypedError,
   UnavailableError,
@@ -31,10 +35,12 @@
 import {Admission} from './admission.js';
 import type {AdviceChannel} from './advice_channel.js';
 import {AdviceDispatcher} from './advice_dispatcher.js';
+import type {OwnerLimits} from './owner_limits.js';
 import type {OwnerTiming} from './owner_timing.js';
 import {RunTracker} from './run_tracker.js';
 import type {ShardClaim} from './shard_claim.js';
 import {ShardJournal} from './shard_journal.js';
+import {StartQueue} from './start_queue.js';
 import {WorkerClock} from './worker_clock.js';
 import {WorkerSession} from './worker_session.js';
 
@@ -44,6 +50,9 @@
 /** Longest retry delay that callers are given during an outage of the log. */
 const MAXIMUM_RETRY_AFTER_MILLISECONDS = 4_000;
 
+/** Retry delay for callers while the owner's memory is in use. */
+const FULL_RETRY_AFTER_MILLISECONDS = 2_000;
+
 /** Changes within this time are handled in one scheduling pass. */
 const COALESCE_MILLISECONDS = 4;
 
@@ -74,6 +83,9 @@
 /** Safety margin added to the time at which earlier owners' leases expire. */
 const TAKEOVER_MARGIN_MILLISECONDS = 1_000;
 
+/** Records over this share of their limit leave out checkpoints. */
+const CHECKPOINT_SHARE = 0.9;
+
 interface ShardOwnerOptions {
   claim: ShardClaim;
   log: ShardLog;
@@ -84,6 +96,7 @@
   logger: Logger;
   metrics: Metrics;
   timing: OwnerTiming;
+  limits: OwnerLimits;
   onLost: () => void;
 }
 
@@ -94,10 +107,12 @@
  */
 export class ShardOwner {
   private readonly state = ShardState.create();
+  private readonly submissionLimits: SubmissionLimits;
   private readonly journal: ShardJournal;
   private readonly runTracker: RunTracker;
   private readonly scheduler: Scheduler;
   private readonly adviceDispatcher: AdviceDispatcher;
+  private readonly startQueue: StartQueue;
   private readonly sessions = new Map<string, WorkerSession>();
   /** Submissions whose record is not durable yet. */
   private readonly admissions = new Map<string, Admission>();
@@ -125,6 +140,7 @@
   private constructor(private readonly options: ShardOwnerOptions) {
     const {claim, clock, logger, metrics} = options;
     this.wakeUp = Notifier.create(clock);
+    this.submissionLimits = SubmissionLimits.create(options.limits);
     this.journal = ShardJournal.create({
       log: options.log,
       clock,
@@ -134,6 +150,8 @@
       nextSequence: claim.nextSequence,
       provedAt: claim.provedAt,
       encode: key => this.encode(key),
+      limits: options.limits,
+      replace: key => this.giveUp(key),
       onLost: () => this.handleLoss(),
     });
     const onChange = () => this.noteChange();
@@ -147,6 +165,10 @@
       onStop: run => this.stopRun(run),
       onChange,
     });
+    this.startQueue = StartQueue.create({
+      start: async run => this.sessions.get(run.workerId)?.start(run),
+      onRoom: onChange,
+    });
     this.scheduler = Scheduler.create(
       this.state,
       PriorityOrder.create(),
@@ -197,6 +219,7 @@
 
   /**
    * Accepts a submission once it is durable. The call is idempotent by ID.
+   * `InvalidInputError` means that the submission is too large for this owner.
    * `UnavailableError` means that the submission was not recorded and will
    * never run. `CancelledError` means that the shard was lost while the
    * submission was being recorded.
@@ -211,9 +234,15 @@
     if (isKnown) return Right(undefined);
     const pending = this.admissions.get(id);
     if (pending) return pending.outcome;
+    const checked = this.submissionLimits.check(queue, specification);
+    if (checked.isLeft()) return checked;
     if (this.journal.isLogDown()) return Left(this.logDownError());
     const now = this.options.clock.wallNow();
     const submission = SubmissionRecord.create(id, queue, specification, now);
+    const memoryBytes = this.state.memoryBytes + submission.memoryBytes;
+    if (memoryBytes > this.submissionLimits.memoryBytes) {
+      return Left(fullError());
+    }
     this.state.add(submission);
     this.journal.mark(RecordCodec.submissionKey(id));
     this.noteChange();
@@ -256,20 +285,54 @@
    * its intent is durable.
    */
   private refuseUnsent(): void {
-    for (const [id, {submission, refuse}] of this.admissions) {
+    for (const [id, admission] of this.admissions) {
       const key = RecordCodec.submissionKey(id);
       if (!this.journal.withdraw(key)) continue;
-      this.admissions.delete(id);
-      for (const step of submission.occurrences.flat()) {
-        this.runTracker.stopRuns(step);
-      }
-      this.state.remove(submission);
-      this.options.metrics.increment('submissions_withdrawn');
-      this.options.logger.info('submission withdrawn', {submission: id});
-      refuse(this.logDownError());
+      this.withdraw(admission);
+      admission.refuse(this.logDownError());
     }
   }
 
+  /**
+   * Ends the submission of a record that the log cannot take, so that the log
+   * keeps taking the others. Returns the record of that ending.
+   */
+  private giveUp(key: string): ShardRecord {
+    const {id = '', kind} = RecordCodec.parseKey(key) ?? {};
+    const admission = this.admissions.get(id);
+    const submission = this.state.submissions.get(id);
+    this.options.logger.error('submission cannot be recorded', {
+      submission: id,
+      key,
+      isAccepted: submission?.isAccepted ?? false,
+    });
+    if (admission && kind === 'submission') {
+      this.withdraw(admission);
+      admission.refuse(
+        InvalidInputError.create('the submission is too large to be recorded'),
+      );
+    } else if (submission) {
+      this.runTracker.endSubmission(submission, 'failed');
+    }
+    const ended = this.state.ended.get(id);
+    if (!ended) return {key, value: ''};
+    const value = RecordCodec.encodeEnding(ended);
+    return {key: RecordCodec.endingKey(id), value};
+  }
+
+  /** Drops a submission whose caller learns that it never runs. */
+  private withdraw({submission}: Admission): void {
+    this.admissions.delete(submission.id);
+    for (const step of submission.occurrences.flat()) {
+      this.runTracker.stopRuns(step);
+    }
+    this.state.remove(submission);
+    this.options.metrics.increment('submissions_withdrawn');
+    this.options.logger.info('submission withdrawn', {
+      submission: submission.id,
+    });
+  }
+
   private logDownError(): TypedError {
     return UnavailableError.create('the shard log takes no appends', {
       retryAfterMilliseconds: this.retryAfterMilliseconds(),
@@ -459,8 +522,10 @@
     const pass = this.scheduler.pass(
       clock.monotonicNow(),
       clock.wallNow(),
+      this.startQueue.room,
       placement => runs.push(this.runTracker.begin(placement)),
     );
+    this.startQueue.open(runs.length);
     for (const {step, cause} of pass.faults) {
       this.options.metrics.increment('steps_set_aside');
       this.options.logger.error('step set aside after an unexpected error', {
@@ -486,8 +551,7 @@
   /** Sends the start orders of runs once their intents are durable. */
   private async startAll(runs: Run[]): Promise<void> {
     const committed = await this.journal.commit();
-    if (committed.isLeft()) return;
-    for (const run of runs) void this.sessions.get(run.workerId)?.start(run);
+    if (committed.isRight()) this.startQueue.send(runs);
   }
 
   private stopRun(run: Run): void {
@@ -496,9 +560,13 @@
 
   private restore(): void {
     const {claim, logger} = this.options;
-    const {unreadable, obsolete} = this.state.restore(claim.records);
-    for (const key of unreadable) logger.error('record unreadable', {key});
-    for (const key of obsolete) this.journal.mark(key);
+    const restored = this.state.restore(claim.records, this.submissionLimits);
+    for (const key of restored.unreadable) {
+      logger.error('record unreadable', {key});
+    }
+    for (const id of restored.outdated) this.rewrite(id);
+    for (const id of restored.oversized) this.endOversized(id);
+    for (const key of restored.obsolete) this.journal.mark(key);
     let placed = 0;
     for (const submission of this.state.submissions.values()) {
       for (const step of submission.occurrences.flat()) {
@@ -519,6 +587,31 @@
     });
   }
 
+  /**
+   * Records a large submission of an earlier version in the present form. The
+   * submission follows its ranges, since it makes them valid.
+   */
+  private rewrite(id: string): void {
+    const submission = this.state.submissions.get(id);
+    for (const step of submission?.occurrences.flat() ?? []) {
+      for (const key of RecordCodec.progressKeys(step)) this.journal.mark(key);
+    }
+    this.journal.mark(RecordCodec.submissionKey(id));
+  }
+
+  /** Ends a submission that an earlier version accepted without a limit. */
+  private endOversized(id: string): void {
+    this.options.logger.error('submission too large; ended as failed', {
+      submission: id,
+    });
+    this.state.ended.set(id, {
+      ending: 'failed',
+      endedAtUnixMilliseconds: this.options.clock.wallNow(),
+    });
+    this.journal.mark(RecordCodec.endingKey(id));
+    this.journal.mark(RecordCodec.submissionKey(id));
+  }
+
   private evictEnded(nowUnixMilliseconds: number): void {
     const {keepEndedMilliseconds} = this.options.timing;
     for (const [id, {endedAtUnixMilliseconds}] of this.state.ended) {
@@ -534,20 +627,43 @@
   }
 
   private encode(key: string): string {
-    const name = key.slice(2);
-    const [id, occurrence, index] = name.split('.');
-    if (key.startsWith('e/')) {
-      const ended = this.state.ended.get(name);
+    const name = RecordCodec.parseKey(key);
+    if (!name) return '';
+    if (name.kind === 'ending') {
+      const ended = this.state.ended.get(name.id);
       return ended ? RecordCodec.encodeEnding(ended) : '';
     }
-    const submission = this.state.submissions.get(id ?? '');
+    const submission = this.state.submissions.get(name.id);
     if (!submission) return '';
-    if (key.startsWith('s/')) return RecordCodec.encodeSubmission(submission);
-    const step = submission.stepsOf(Number(occurrence))[Number(index)];
-    return step ? RecordCodec.encodeProgress(step) : '';
+    if (name.kind === 'submission') {
+      return RecordCodec.encodeSubmission(submission);
+    }
+    if ((name.kind === 'range') !== submission.isLarge) return '';
+    const step = submission.stepsOf(name.occurrence)[name.step];
+    return step ? this.encodeProgress(key, step, name.range) : '';
+  }
+
+  /**
+   * Leaves the checkpoints out of a record that would be too large with them:
+   * their tasks start anew if the next owner finds them ended.
+   */
+  private encodeProgress(key: string, step: StepState, range: number): string {
+    const value = RecordCodec.encodeProgress(step, range);
+    const bytes = Buffer.byteLength(key) + Buffer.byteLength(value);
+    if (bytes < this.options.limits.recordBytes * CHECKPOINT_SHARE) {
+      return value;
+    }
+    this.options.logger.warn('checkpoints left out of a record', {key, bytes});
+    return RecordCodec.encodeProgress(step, range, false);
   }
 }
 
+function fullError(): TypedError {
+  return UnavailableError.create('the memory for submissions is in use', {
+    retryAfterMilliseconds: FULL_RETRY_AFTER_MILLISECONDS,
+  });
+}
+
 function leasesEndAt(options: ShardOwnerOptions): number {
   // The first owner of a shard has no predecessor that granted a lease.
   if (options.claim.owner.epoch === 1) return 0;
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -503,7 +503,7 @@
     run.task.workerBornAt = this.bornAt;
     run.task.workerAddress = this.currentAddress;
     // The next owner may know the worker from the records alone.
-    this.options.runs.markStep(run.step);
+    this.options.runs.markTask(run.step, run.task);
   }
 
   /** Logs a run that the worker lists and the owner does not track, once. */
