Keep runs whose ends are beyond the first list after a takeover

Callers would see tasks run again that had ended: their ends were acknowledged, and a second later a new run of the same task started.

Cause: when a new incarnation of a worker answers, runs whose intents name the former one are given up unless the report lists them. A report has at most 500 ends. With more, a run that the new incarnation had carried out was not listed and given up as `worker restarted`; its end came with the next page, was acknowledged, and the task had been queued again.

Why this works: while the list of ends is incomplete, a run that it omits is kept. Once it is complete, a run that was neither listed as running nor ended is given up as before.

--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -448,6 +448,10 @@
         // The start order may still reach the new incarnation. Stopping the run
         // there withdraws it first.
         this.orders.withdraw(run);
+      } else if (report.hasMoreEnds) {
+        // The new incarnation may have run it, and its end be left out of this
+        // report. The last report of its ends decides.
+        continue;
       } else {
         runs.markLost(run, 'worker restarted');
       }
