Count the lease that a new incarnation of a worker has taken itself

Callers would see a task run on two workers at once: its worker restarted so quickly that no poll failed, then was cut off for longer than a usual lease.

The poll that finds the restart may itself renew a lease, with an end on the former clock, which the new incarnation shortens to the longest lease; a start that it answered before it was polled does the same.

Why this works: a renewal counts as open until its report has been applied, and an answered call with another clock counts as one that may be late. An answer without a clock counts as none.

Also: starts that wait when their owner stops are dropped without a log line each, and only records of large submissions are read by the compact schema.

--- a/packages/cell-scheduler/src/record_codec.ts
+++ b/packages/cell-scheduler/src/record_codec.ts
@@ -30,11 +30,13 @@
   acceptedAt: z.number(),
 });
 
-const CompactSubmissionValue = z.object({
-  queue: Queue,
-  compact: CompactSpecification,
-  acceptedAt: z.number(),
-});
+const CompactSubmissionValue = z
+  .object({
+    queue: Queue,
+    compact: CompactSpecification,
+    acceptedAt: z.number(),
+  })
+  .transform(({compact, ...rest}) => ({...rest, specification: compact}));
 
 /**
  * Encodes and decodes the keys and values of a shard's records.
@@ -133,16 +135,15 @@
   /** Throws when the value does not match its schema. */
   static decodeSubmission(id: string, value: string): SubmissionRecord {
     const json: unknown = JSON.parse(value);
-    const compact = CompactSubmissionValue.safeParse(json);
-    const {queue, specification, acceptedAt} = compact.success
-      ? {...compact.data, specification: compact.data.compact}
+    const {queue, specification, acceptedAt} = isCompact(json)
+      ? CompactSubmissionValue.parse(json)
       : SubmissionValue.parse(json);
     return SubmissionRecord.create(id, queue, specification, acceptedAt);
   }
 
   /** True if the record of a submission has the form of a small one. */
   static hasSmallForm(value: string): boolean {
-    return SubmissionValue.safeParse(JSON.parse(value)).success;
+    return !isCompact(JSON.parse(value));
   }
 
   /** Throws when the value does not match its schema. */
@@ -178,6 +179,10 @@
   }
 }
 
+function isCompact(value: unknown): boolean {
+  return typeof value === 'object' && value !== null && 'compact' in value;
+}
+
 function rangeKey(step: StepState, range: number): string {
   return `${PREFIXES.range}${step.name}.${range}`;
 }
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -206,7 +206,7 @@
     const {clock, journal, leases, logger, metrics} = this.options;
     const sentAt = clock.monotonicNow();
     const clockAtSending = leases.clockAt(sentAt);
-    leases.beginCall();
+    const call = leases.beginCall();
     const outcome = await this.options.link().start({
       taskName: run.task.name,
       attempt: run.attempt,
@@ -216,7 +216,8 @@
       checkpoint: run.task.checkpoint,
       ticket: run.ticket,
     });
-    leases.endCall(outcome.kind !== 'uncertain');
+    // Without a clock nothing tells which incarnation has answered.
+    call.end(outcome.kind !== 'uncertain' && outcome.clock !== undefined);
     if (
       outcome.kind !== 'uncertain' &&
       outcome.clock !== undefined &&
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -169,7 +169,7 @@
       onChange,
     });
     this.startQueue = StartQueue.create({
-      start: async run => this.sessions.get(run.workerId)?.start(run),
+      start: run => this.startRun(run),
       onRoom: onChange,
     });
     this.scheduler = Scheduler.create(
@@ -555,7 +555,13 @@
   /** Sends the start orders of runs once their intents are durable. */
   private async startAll(runs: Run[]): Promise<void> {
     const committed = await this.journal.commit();
-    if (committed.isRight()) this.startQueue.send(runs);
+    if (committed.isLeft() || this.stopping.signal.aborted) return;
+    this.startQueue.send(runs);
+  }
+
+  private async startRun(run: Run): Promise<void> {
+    if (this.stopping.signal.aborted) return;
+    await this.sessions.get(run.workerId)?.start(run);
   }
 
   private stopRun(run: Run): void {
--- a/packages/shard-owner/src/worker_leases.test.ts
+++ b/packages/shard-owner/src/worker_leases.test.ts
@@ -40,9 +40,9 @@
   const clock = ManualClock.create();
   const leases = createLeases(clock);
   leases.observe(1_000, clock.monotonicNow());
-  leases.beginCall();
+  const call = leases.beginCall();
   leases.grant(clock.monotonicNow());
-  leases.endCall(true);
+  call.end(true);
   leases.beginIncarnation(true);
   expect(leases.expireAt).toBeLessThanOrEqual(clock.monotonicNow());
 });
@@ -53,9 +53,9 @@
   const clock = ManualClock.create();
   const leases = createLeases(clock);
   leases.observe(1_000, clock.monotonicNow());
-  leases.beginCall();
+  const call = leases.beginCall();
   leases.grant(clock.monotonicNow());
-  leases.endCall(false);
+  call.end(false);
   leases.beginIncarnation(true);
   await clock.advance(PAUSE_MILLISECONDS);
   leases.noteFenced();
@@ -68,6 +68,23 @@
   expect(leases.expireAt).toBe(expireAt);
 });
 
+// Guards against two runs of a task: the new incarnation has carried out a call
+// to the former one and holds the longest lease.
+it.each([
+  ['has answered a start', (leases: WorkerLeases) => leases.coverOtherClock()],
+  ['answers a poll', (leases: WorkerLeases) => void leases.beginCall()],
+])('counts the longest lease if a new incarnation %s', (_, act) => {
+  const clock = ManualClock.create();
+  const leases = createLeases(clock);
+  leases.observe(1_000, clock.monotonicNow());
+  act(leases);
+  leases.grant(clock.monotonicNow());
+  leases.beginIncarnation(true);
+  expect(leases.expireAt - clock.monotonicNow()).toBeGreaterThan(
+    LONGEST_LEASE_MILLISECONDS,
+  );
+});
+
 // Guards against a long wait for the runs of a lost worker.
 it('does not extend a lease by readings of a clock that goes on', async () => {
   const clock = ManualClock.create();
--- a/packages/shard-owner/src/worker_leases.ts
+++ b/packages/shard-owner/src/worker_leases.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '@cardamomfield/clock';
+import type {LeaseCall} from './lease_call.js';
 import type {OwnerTiming} from './owner_timing.js';
 import type {ShardJournal} from './shard_journal.js';
 import {WorkerClock} from './worker_clock.js';
@@ -50,6 +51,8 @@
   private openCalls = 0;
   /** Monotonic time at which such a call last failed. */
   private failedCallAt = -Infinity;
+  /** Monotonic time at which another incarnation last answered such a call. */
+  private otherClockAt = -Infinity;
   /**
    * True while a call to the former incarnation may be carried out by the
    * present one and grant it a lease.
@@ -92,21 +95,22 @@
     this.clock.observe(workerMilliseconds, receivedAt);
   }
 
-  /** Counts a call that grants a lease, until `endCall`. */
-  beginCall(): void {
+  /** Counts a call that grants a lease, until it ends. */
+  beginCall(): LeaseCall {
     this.openCalls++;
-  }
-
-  /** Notes the end of a call that granted a lease. */
-  endCall(isAnswered: boolean): void {
-    this.openCalls--;
-    if (!isAnswered) this.failedCallAt = this.options.clock.monotonicNow();
+    return {
+      end: isAnswered => {
+        this.openCalls--;
+        if (!isAnswered) this.failedCallAt = this.options.clock.monotonicNow();
+      },
+    };
   }
 
   /**
    * Resets the clock estimate for a new incarnation of the worker. A restart
-   * ends all earlier leases. Only calls to the former incarnation that were not
-   * answered can grant the new one a lease, with an end on the former clock;
+   * ends all earlier leases. Only calls to the former incarnation can grant the
+   * new one a lease, with an end on the former clock: those that have not ended
+   * or were not answered, and those that the new incarnation has answered.
    * `isFenceRaised` says that the new incarnation will refuse them.
    */
   beginIncarnation(isFenceRaised: boolean): void {
@@ -114,6 +118,7 @@
     const hasLateCalls =
       this.openCalls > 0 ||
       now < this.failedCallAt + LATE_ORDER_MILLISECONDS ||
+      now < this.otherClockAt + LATE_ORDER_MILLISECONDS ||
       now < this.options.earlierLeasesEndAt;
     this.clock.reset();
     this.grantedEnd = undefined;
@@ -138,6 +143,7 @@
    * end on the former clock.
    */
   coverOtherClock(): void {
+    this.otherClockAt = this.options.clock.monotonicNow();
     this.otherLeasesEndAt = Math.max(
       this.otherLeasesEndAt,
       this.longestLeaseEndsAt(),
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -21,6 +21,7 @@
 import {isFromOtherWorker} from './is_from_other_worker.js';
 import {isRunOfListedWorker} from './is_run_of_listed_worker.js';
 import type {LastPoll} from './last_poll.js';
+import type {LeaseCall} from './lease_call.js';
 import type {RunEvidence} from './run_evidence.js';
 import type {RunTracker} from './run_tracker.js';
 import {RunOrders} from './run_orders.js';
@@ -198,13 +199,21 @@
   private async pollOnce(): Promise<void> {
     const {clock} = this.options;
     const sentAt = clock.monotonicNow();
-    const report = await this.poll(sentAt);
+    const renewal = this.beginRenewal();
+    const report = await this.poll(sentAt, renewal !== undefined);
     if (this.isStopped) return;
     if (!report) {
+      renewal?.end(false);
       await this.wakeUp.wait(clock.monotonicNow() + POLL_RETRY_MILLISECONDS);
       return;
     }
-    await this.apply(report, sentAt);
+    try {
+      await this.apply(report, sentAt);
+    } finally {
+      // Until here the renewal counts as open: the report may show that another
+      // incarnation has carried it out.
+      renewal?.end(true);
+    }
     // A worker answers immediately while it has unacknowledged ends, so these
     // are recorded before the next poll.
     if (this.processedEnd > this.acknowledgedEnd) await this.recordEnds();
@@ -328,25 +337,31 @@
     return bornAtUnixMilliseconds === this.bornAt ? address : '';
   }
 
-  private async poll(now: number): Promise<WorkerReport | undefined> {
-    const {journal, logger, metrics} = this.options;
+  /** Begins the renewal of the lease by a poll; undefined if it must not. */
+  private beginRenewal(): LeaseCall | undefined {
     const mayRenew =
       this.worker.runs.size > 0 &&
       this.isReachable &&
       this.leases.isClockKnown &&
-      journal.hasAuthority();
+      this.options.journal.hasAuthority();
+    return mayRenew ? this.leases.beginCall() : undefined;
+  }
+
+  private async poll(
+    now: number,
+    renews: boolean,
+  ): Promise<WorkerReport | undefined> {
+    const {journal, logger, metrics} = this.options;
     const link = this.link;
     const pausesBefore = journal.pauseCount;
     const interruptionsBefore = journal.interruptionCount;
     const {fence} = this;
-    if (mayRenew) this.leases.beginCall();
     const result = await link.poll({
-      leaseEndWorkerMilliseconds: mayRenew ? this.leases.grant(now) : undefined,
+      leaseEndWorkerMilliseconds: renews ? this.leases.grant(now) : undefined,
       fence,
       acknowledgedEnd: this.isSameIncarnation ? this.acknowledgedEnd : 0,
       waitMilliseconds: this.pollWait(),
     });
-    if (mayRenew) this.leases.endCall(result.isRight());
     metrics.increment('worker_looks', 1, {
       outcome: result.isRight() ? 'answered' : 'failed',
     });
