Raise the fencing token for a new session with a worker

Callers would see tasks run again that were done: a start that had no answer was carried out 11 s late. Its worker had crashed, its entry was removed, the owner had ended its session, and the worker was back under the same ID.

Cause: the same as with a restart within a session. The owner forgot with the session what it had sent, and the new session used the token of the former one, so the new incarnation could not tell a late order from a present one.

Why this works: the owner keeps until when the calls of an ended session may be carried out. A session opened before then begins with a raised token, and counts the longest lease from its first answered poll.

--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -37,6 +37,7 @@
 import {AdviceDispatcher} from './advice_dispatcher.js';
 import type {OwnerLimits} from './owner_limits.js';
 import type {OwnerTiming} from './owner_timing.js';
+import type {EndedSession} from './ended_session.js';
 import {FencingSequence} from './fencing_sequence.js';
 import {RunTracker} from './run_tracker.js';
 import type {ShardClaim} from './shard_claim.js';
@@ -119,10 +120,10 @@
   /** Submissions whose record is not durable yet. */
   private readonly admissions = new Map<string, Admission>();
   /**
-   * Monotonic time by which the leases that an ended session granted have
-   * expired, by worker. A lease never shortens, so the next session must know.
+   * Ended sessions by worker, as long as their leases and calls matter. A lease
+   * never shortens, and a call may be carried out late.
    */
-  private readonly endedLeases = new Map<string, number>();
+  private readonly endedSessions = new Map<string, EndedSession>();
   /** Restored runs by worker, until the worker has a session. */
   private readonly orphanedRuns = new Map<string, Run[]>();
   private readonly wakeUp: Notifier;
@@ -385,6 +386,7 @@
     description: WorkerDescription,
   ): Parameters<typeof WorkerSession.create>[0] {
     const {links, clock, logger, metrics, timing} = this.options;
+    const ended = this.endedSessions.get(description.id);
     return {
       description,
       links,
@@ -399,8 +401,9 @@
       stalls: StallPolicy.create(),
       earlierLeasesEndAt: Math.max(
         this.earlierLeasesEndAt,
-        this.endedLeases.get(description.id) ?? 0,
+        ended?.leasesEndAt ?? 0,
       ),
+      lateCallsEndAt: ended?.lateCallsEndAt ?? -Infinity,
       onChange: () => this.noteChange(),
     };
   }
@@ -480,13 +483,15 @@
           ...session.evidence(),
         });
         session.stop();
-        this.endedLeases.set(id, session.leasesEndAt);
+        const {leasesEndAt, lateCallsEndAt} = session;
+        this.endedSessions.set(id, {leasesEndAt, lateCallsEndAt});
         this.sessions.delete(id);
         this.state.workers.delete(id);
       }
     }
-    for (const [id, endsAt] of this.endedLeases) {
-      if (endsAt < now) this.endedLeases.delete(id);
+    for (const [id, ended] of this.endedSessions) {
+      const endsAt = Math.max(ended.leasesEndAt, ended.lateCallsEndAt);
+      if (endsAt < now) this.endedSessions.delete(id);
     }
     if (now >= this.unlistedSessionsAt) this.openUnlistedSessions();
     if (now > this.earlierLeasesEndAt) this.markOrphanedRunsLost();
--- a/packages/shard-owner/src/worker_leases.test.ts
+++ b/packages/shard-owner/src/worker_leases.test.ts
@@ -17,6 +17,7 @@
       keepEndedMilliseconds: 600_000,
     },
     earlierLeasesEndAt: 0,
+    lateCallsEndAt: -Infinity,
   });
 }
 
--- a/packages/shard-owner/src/worker_leases.ts
+++ b/packages/shard-owner/src/worker_leases.ts
@@ -35,6 +35,11 @@
   timing: OwnerTiming;
   /** Monotonic time by which all leases of earlier owners have expired. */
   earlierLeasesEndAt: number;
+  /**
+   * Monotonic time until which calls of an ended session with the worker may
+   * still be carried out.
+   */
+  lateCallsEndAt: number;
 }
 
 /** The leases granted to one worker, on its clock and on the owner's. */
@@ -54,13 +59,15 @@
   /** Monotonic time at which another incarnation last answered such a call. */
   private otherClockAt = -Infinity;
   /**
-   * True while a call to the former incarnation may be carried out by the
-   * present one and grant it a lease.
+   * True while a call to a former incarnation may be carried out by the present
+   * one and grant it a lease.
    */
-  private mayMeetLateCall = false;
+  private mayMeetLateCall: boolean;
 
   private constructor(private readonly options: WorkerLeasesOptions) {
     this.otherLeasesEndAt = options.earlierLeasesEndAt;
+    this.mayMeetLateCall =
+      options.clock.monotonicNow() < options.lateCallsEndAt;
   }
 
   static create(options: WorkerLeasesOptions): WorkerLeases {
@@ -80,6 +87,20 @@
     );
   }
 
+  /** Monotonic time until which calls so far may still be carried out. */
+  get lateCallsEndAt(): number {
+    const now = this.options.clock.monotonicNow();
+    const lastAt = Math.max(
+      this.failedCallAt,
+      this.otherClockAt,
+      this.openCalls > 0 ? now : -Infinity,
+    );
+    return Math.max(
+      this.options.lateCallsEndAt,
+      lastAt + LATE_ORDER_MILLISECONDS,
+    );
+  }
+
   /** Whether the worker may hold a longer lease than any granted now. */
   mayHoldLongLease(now: number): boolean {
     return this.otherLeasesEndAt > now + LOSS_MILLISECONDS;
@@ -116,10 +137,7 @@
   beginIncarnation(isFenceRaised: boolean): void {
     const now = this.options.clock.monotonicNow();
     const hasLateCalls =
-      this.openCalls > 0 ||
-      now < this.failedCallAt + LATE_ORDER_MILLISECONDS ||
-      now < this.otherClockAt + LATE_ORDER_MILLISECONDS ||
-      now < this.options.earlierLeasesEndAt;
+      now < this.lateCallsEndAt || now < this.options.earlierLeasesEndAt;
     this.clock.reset();
     this.grantedEnd = undefined;
     this.mayMeetLateCall = hasLateCalls && isFenceRaised;
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -73,6 +73,11 @@
   stalls: StallPolicy;
   /** Monotonic time by which all leases of earlier owners have expired. */
   earlierLeasesEndAt: number;
+  /**
+   * Monotonic time until which calls of an ended session with the worker may
+   * still be carried out.
+   */
+  lateCallsEndAt: number;
   onChange: () => void;
 }
 
@@ -121,7 +126,11 @@
 
   private constructor(private readonly options: WorkerSessionOptions) {
     this.reportedAt = options.clock.monotonicNow();
-    this.fence = options.tokens.current;
+    // Calls of an ended session must not reach a worker that is back.
+    const isReopened = options.clock.monotonicNow() < options.lateCallsEndAt;
+    this.fence =
+      (isReopened ? options.tokens.raise() : undefined) ??
+      options.tokens.current;
     this.worker = WorkerState.create(options.description);
     this.link = options.links.open(options.description);
     this.wakeUp = Notifier.create(options.clock);
@@ -253,6 +262,11 @@
     return this.leases.expireAt;
   }
 
+  /** Monotonic time until which calls so far may still be carried out. */
+  get lateCallsEndAt(): number {
+    return this.leases.lateCallsEndAt;
+  }
+
   /** True when the worker has left and the owner tracks no run on it. */
   get hasEnded(): boolean {
     const isLeaving =
