Wait for earlier leases where the log keeps no endings for so long

A log without work is taken to show that no worker holds a lease of an earlier owner, since endings are kept for longer than leases last. That follows from the settings of the sites (240 s), not from the code: with a short `status_s`, an ending could be gone while a lease lasts. The owner now compares the two times. claim_shard.test.ts covers what counts as a log without work.

--- a/packages/shard-owner/src/claim_shard.ts
+++ b/packages/shard-owner/src/claim_shard.ts
@@ -87,7 +87,7 @@
   }
   return Right({
     owner: claim,
-    isFirst: [...records.keys()].every(key => key === OWNER_KEY),
+    isEmpty: [...records.keys()].every(key => key === OWNER_KEY),
     nextSequence: sequence + 1,
     provedAt: sentAt,
     records,
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -680,14 +680,17 @@
 }
 
 function leasesEndAt(options: ShardOwnerOptions): number {
-  if (options.claim.isFirst) return 0;
-  return (
-    options.clock.monotonicNow() +
+  const {claim, clock, timing} = options;
+  const longestMilliseconds =
     ShardJournal.proofValidMilliseconds +
-    options.timing.maximumLeaseMilliseconds / WorkerClock.slowestRate +
-    options.timing.stopMilliseconds +
-    TAKEOVER_MARGIN_MILLISECONDS
-  );
+    timing.maximumLeaseMilliseconds / WorkerClock.slowestRate +
+    timing.stopMilliseconds +
+    TAKEOVER_MARGIN_MILLISECONDS;
+  // A log without work shows that no lease is left only if it keeps the endings
+  // of submissions for longer than leases last.
+  const showsLeases = timing.keepEndedMilliseconds > longestMilliseconds;
+  if (claim.isEmpty && showsLeases) return 0;
+  return clock.monotonicNow() + longestMilliseconds;
 }
 
 /**
