Log what decided each answer about a submission

The line `request answered` named the owner and epoch that the answering host knew, not the process that decided.

The owner states its host, its epoch, the basis of the answer and the age of the last proof of its epoch; calls between hosts carry them. No answer changes. `ShardOwner.describe` replaces `show` where tests read the owner's state.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -432,9 +432,7 @@
       ),
     );
     server.handle(PeerMethod.show, PeerMessages.submissionId, call =>
-      this.withOwner(async owner =>
-        owner.show(call.id).map(state => ({state})),
-      ),
+      this.withOwner(owner => owner.show(call.id)),
     );
     server.handle(PeerMethod.cancel, PeerMessages.submissionId, call =>
       this.withOwner(owner => owner.cancel(call.id)),
--- a/packages/cell-host/src/peer_messages.ts
+++ b/packages/cell-host/src/peer_messages.ts
@@ -1,4 +1,5 @@
 import {
+  Decision,
   DesiredState,
   HostRecord,
   OwnerRecord,
@@ -36,7 +37,12 @@
     specification: SubmissionSpecification,
   }),
   submissionId: z.object({id: z.string()}),
-  showResult: z.object({state: SubmissionState}),
+  /** Hosts of earlier versions do not state the decision. */
+  decidedResult: z.object({decision: Decision.optional()}),
+  showResult: z.object({
+    state: SubmissionState,
+    decision: Decision.optional(),
+  }),
   queueName: z.object({queueName: z.string()}),
   countResult: z.object({count: z.number().int()}),
   adviceQuery: z.object({
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -1,4 +1,5 @@
 import type {
+  Decision,
   Queue,
   SubmissionSpecification,
   SubmissionState,
@@ -68,14 +69,16 @@
     queue: Queue,
     specification: SubmissionSpecification,
     deadline: number,
-  ): Promise<Either<TypedError, unknown>> {
+  ): Promise<Either<TypedError, {decision?: Decision}>> {
     const checked = this.options.limits.check(queue, specification);
-    if (checked.isLeft()) return Promise.resolve(checked);
+    if (checked.isLeft()) {
+      return Promise.resolve(checked as Either<TypedError, never>);
+    }
     return this.call(
       owner => owner.submit(id, queue, specification),
       PeerMethod.submit,
       {id, queue, specification},
-      PeerMessages.empty,
+      PeerMessages.decidedResult,
       deadline,
     );
   }
@@ -83,9 +86,11 @@
   async show(
     id: string,
     deadline: number,
-  ): Promise<Either<TypedError, {state: SubmissionState}>> {
+  ): Promise<
+    Either<TypedError, {state: SubmissionState; decision?: Decision}>
+  > {
     return this.call(
-      owner => Promise.resolve(owner.show(id).map(state => ({state}))),
+      owner => owner.show(id),
       PeerMethod.show,
       {id},
       PeerMessages.showResult,
@@ -93,12 +98,15 @@
     );
   }
 
-  cancel(id: string, deadline: number): Promise<Either<TypedError, unknown>> {
+  cancel(
+    id: string,
+    deadline: number,
+  ): Promise<Either<TypedError, {decision?: Decision}>> {
     return this.call(
       owner => owner.cancel(id),
       PeerMethod.cancel,
       {id},
-      PeerMessages.empty,
+      PeerMessages.decidedResult,
       deadline,
     );
   }
--- a/packages/cell-model/src/index.ts
+++ b/packages/cell-model/src/index.ts
@@ -1,6 +1,7 @@
 /** Schemas and interfaces of the cell. */
 export * from './advice.js';
 export * from './adviser.js';
+export * from './decision.js';
 export * from './desired_state.js';
 export * from './desired_state_source.js';
 export * from './host_directory.js';
--- a/packages/cell-stand-ins/src/advice_tickets.test.ts
+++ b/packages/cell-stand-ins/src/advice_tickets.test.ts
@@ -100,7 +100,7 @@
   const host = await startOwner(cell);
   await cell.harness.virtualClock.advance(20_000);
   expect(cell.refusedStarts).toBe(1);
-  expect(host.owner?.show(ID).extract()).toBe('completed');
+  expect(host.owner?.describe(ID)).toBe('completed');
   host.kill();
 });
 
@@ -114,6 +114,6 @@
   host.log.answerMilliseconds = 0;
   await cell.harness.virtualClock.advance(20_000);
   expect(cell.refusedStarts).toBe(0);
-  expect(host.owner?.show(ID).extract()).toBe('completed');
+  expect(host.owner?.describe(ID)).toBe('completed');
   host.kill();
 });
--- a/packages/cell-stand-ins/src/ended_records.test.ts
+++ b/packages/cell-stand-ins/src/ended_records.test.ts
@@ -24,7 +24,7 @@
   first.kill();
   void second.claim(1);
   await virtualClock.advance(20_000);
-  const states = IDS.map(id => second.owner?.show(id).extract());
+  const states = IDS.map(id => second.owner?.describe(id));
   expect(states).toEqual(['cancelled', 'completed', 'completed', 'completed']);
   expect(ledger.runningTasks()).toEqual([]);
   expect(ledger.violations).toEqual([]);
--- a/packages/cell-stand-ins/src/failing_poll.test.ts
+++ b/packages/cell-stand-ins/src/failing_poll.test.ts
@@ -37,7 +37,7 @@
     await virtualClock.advance(STEP_MILLISECONDS);
     worker.settle();
   }
-  const state = host.owner?.show(id).extract();
+  const state = host.owner?.describe(id);
   host.kill();
   expect(ledger.violations).toEqual([]);
   expect(state).toBe('completed');
--- a/packages/cell-stand-ins/src/large_submission.test.ts
+++ b/packages/cell-stand-ins/src/large_submission.test.ts
@@ -48,7 +48,7 @@
     true,
   );
   await virtualClock.advance(100_000);
-  const states = [LARGE, PLAIN].map(id => host.owner?.show(id).extract());
+  const states = [LARGE, PLAIN].map(id => host.owner?.describe(id));
   expect(states).toEqual(['completed', 'completed']);
   expect(store.refusals).toBe(0);
   expect(ledger.violations).toEqual([]);
@@ -67,7 +67,7 @@
   host.kill();
   void second.claim(1);
   await virtualClock.advance(100_000);
-  expect(second.owner?.show(LARGE).extract()).toBe('completed');
+  expect(second.owner?.describe(LARGE)).toBe('completed');
   expect(store.read().map(({key}) => key)).toEqual(['o', `e/${LARGE}`]);
   expect(ledger.violations).toEqual([]);
   second.kill();
@@ -108,8 +108,8 @@
   const [refused, accepted] = await Promise.all(answers);
   expect(refused?.extract()).toBeInstanceOf(InvalidInputError);
   expect(accepted?.isRight()).toBe(true);
-  expect(host.owner?.show(PLAIN).extract()).toBe('completed');
-  expect(host.owner?.show(LARGE).isLeft()).toBe(true);
+  expect(host.owner?.describe(PLAIN)).toBe('completed');
+  expect(host.owner?.describe(LARGE)).toBeUndefined();
   expect(store.read().filter(({key}) => key.includes(LARGE))).toEqual([]);
   host.kill();
 });
@@ -126,7 +126,7 @@
   const second = harness.addHost('second');
   void second.claim(1);
   await virtualClock.advance(2_000);
-  expect(second.owner?.show(LARGE).extract()).toBe('failed');
+  expect(second.owner?.describe(LARGE)).toBe('failed');
   expect(store.read().map(({key}) => key)).toEqual(['o', `e/${LARGE}`]);
   second.kill();
 });
--- a/packages/cell-stand-ins/src/outage_admission.test.ts
+++ b/packages/cell-stand-ins/src/outage_admission.test.ts
@@ -37,8 +37,8 @@
   store.isDown = false;
   await virtualClock.advance(20_000);
   expect((await sent)?.isRight()).toBe(true);
-  expect(host.owner?.show(SENT).extract()).toBe('completed');
-  expect(host.owner?.show(UNSENT).isLeft()).toBe(true);
+  expect(host.owner?.describe(SENT)).toBe('completed');
+  expect(host.owner?.describe(UNSENT)).toBeUndefined();
   expect(store.read().filter(({key}) => key.includes(UNSENT))).toEqual([]);
   host.kill();
 });
--- a/packages/cell-stand-ins/src/overdue_start.test.ts
+++ b/packages/cell-stand-ins/src/overdue_start.test.ts
@@ -57,7 +57,7 @@
     await virtualClock.advance(STEP_MILLISECONDS);
     worker.settle();
   }
-  const state = second.owner?.show(ID).extract();
+  const state = second.owner?.describe(ID);
   second.kill();
   worker.restart();
   await virtualClock.advance(RESTART_MILLISECONDS);
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -310,7 +310,7 @@
         continue;
       }
       completed = [...this.accepted].filter(id =>
-        hasEnded(owner.show(id).extract()),
+        hasEnded(owner.describe(id)),
       ).length;
       if (completed === this.accepted.size) break;
     }
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -180,6 +180,11 @@
     });
   }
 
+  /** Age of the last proof of the epoch; Infinity after a process pause. */
+  get proofAgeMilliseconds(): number {
+    return this.options.clock.monotonicNow() - this.provedAt;
+  }
+
   /** True while the last proof of the epoch is recent enough to send orders. */
   hasAuthority(): boolean {
     this.checkForPause();
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -1,4 +1,5 @@
 import type {
+  Decision,
   Queue,
   ShardLog,
   ShardRecord,
@@ -232,14 +233,14 @@
     id: string,
     queue: Queue,
     specification: SubmissionSpecification,
-  ): Promise<Either<TypedError, void>> {
+  ): Promise<Either<TypedError, {decision: Decision}>> {
     const isKnown =
       this.state.ended.has(id) || this.state.submissions.get(id)?.isAccepted;
-    if (isKnown) return Right(undefined);
+    if (isKnown) return Right({decision: this.decision('memory')});
     const pending = this.admissions.get(id);
-    if (pending) return pending.outcome;
+    if (pending) return this.decideOn(pending.outcome);
     const checked = this.submissionLimits.check(queue, specification);
-    if (checked.isLeft()) return checked;
+    if (checked.isLeft()) return checked as Either<TypedError, never>;
     if (this.journal.isLogDown()) return Left(this.logDownError());
     const now = this.options.clock.wallNow();
     const submission = SubmissionRecord.create(id, queue, specification, now);
@@ -252,7 +253,7 @@
     this.noteChange();
     const admission = Admission.create(submission, this.journal.commit());
     this.admissions.set(id, admission);
-    const outcome = await admission.outcome;
+    const outcome = await this.decideOn(admission.outcome);
     this.admissions.delete(id);
     if (outcome.isLeft()) return outcome;
     submission.isAccepted = true;
@@ -265,18 +266,46 @@
     return outcome;
   }
 
+  /** The state of a submission in memory; undefined if it is unknown. */
+  describe(id: string): SubmissionState | undefined {
+    return this.state.describe(id);
+  }
+
   /** The state of a submission, or `NotFoundError`. */
-  show(id: string): Either<TypedError, SubmissionState> {
-    const state = this.state.describe(id);
-    return state ? Right(state) : Left(unknownSubmission(id));
+  async show(
+    id: string,
+  ): Promise<Either<TypedError, {state: SubmissionState; decision: Decision}>> {
+    const state = this.describe(id);
+    const decision = this.decision('memory');
+    if (!state) return Left(unknownSubmission(id, decision));
+    return Right({state, decision});
   }
 
   /** Cancels a submission permanently; `NotFoundError` if it is unknown. */
-  async cancel(id: string): Promise<Either<TypedError, void>> {
+  async cancel(id: string): Promise<Either<TypedError, {decision: Decision}>> {
     const submission = this.state.submissions.get(id);
     if (submission) this.runTracker.endSubmission(submission, 'cancelled');
-    else if (!this.state.ended.has(id)) return Left(unknownSubmission(id));
-    return this.journal.commit();
+    else if (!this.state.ended.has(id)) {
+      return Left(unknownSubmission(id, this.decision('memory')));
+    }
+    return this.decideOn(this.journal.commit());
+  }
+
+  private async decideOn(
+    recorded: Promise<Either<TypedError, void>>,
+  ): Promise<Either<TypedError, {decision: Decision}>> {
+    const outcome = await recorded;
+    return outcome.map(() => ({decision: this.decision('record')}));
+  }
+
+  private decision(basis: Decision['basis']): Decision {
+    const {owner} = this.options.claim;
+    return {
+      hostName: owner.hostName,
+      epoch: owner.epoch,
+      basis,
+      proofAgeMilliseconds: Math.round(this.journal.proofAgeMilliseconds),
+    };
   }
 
   countPending(queueName: string): number {
@@ -720,6 +749,6 @@
   };
 }
 
-function unknownSubmission(id: string): TypedError {
-  return NotFoundError.create(`submission ${id} does not exist`);
+function unknownSubmission(id: string, decision: Decision): TypedError {
+  return NotFoundError.create(`submission ${id} does not exist`, {decision});
 }
