Check random runs against what callers were told

The random ownership runs counted neither a cancel that was answered with NotFoundError nor what a state shown to a caller said before, so they could not see UNASKED. Callers take success and NotFoundError alike for the word that a job never runs.

Now an order that leaves its owner more than 3,000 ms (cancel_ms) after the first acknowledgement of its job's cancel is a violation, as is a task of such a job that runs after the recovery, an accepted job that nobody cancelled shown as unknown or cancelled, an unfinished state shown after a final one or after the acknowledgement, and two final states.

--- a/packages/cell-stand-ins/src/memory_cell_link.ts
+++ b/packages/cell-stand-ins/src/memory_cell_link.ts
@@ -65,7 +65,7 @@
   }
 
   async start(order: StartOrder): Promise<StartOutcome> {
-    const result = await this.send(() => this.worker.start(order));
+    const result = await this.send(sentAt => this.worker.start(order, sentAt));
     return result ?? {kind: 'uncertain', cause: 'no answer'};
   }
 
@@ -123,7 +123,7 @@
    * queued.
    */
   private async send<Result>(
-    execute: () => Result,
+    perform: (sentAt: number) => Result,
     state: 'queued' | 'written' = 'queued',
   ): Promise<Result | undefined> {
     const deadline = CallDeadline.create(this.clock, TIMEOUT_MILLISECONDS);
@@ -134,6 +134,8 @@
       await this.clock.whenRunning();
       if (deadline.hasPassed && !this.sendsOverdueCalls) return undefined;
     }
+    const sentAt = this.virtualClock.monotonicNow();
+    const execute = () => perform(sentAt);
     const isReached = !this.faults.isPartitioned && this.worker.isUp;
     if (isReached && this.worker.isPaused) {
       void this.executeAfterPause(execute);
--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -203,7 +203,11 @@
     this.resolveResumed?.();
   }
 
-  start(order: StartOrder): StartOutcome {
+  /** Carries out a start order that left its owner at `sentAt`. */
+  start(
+    order: StartOrder,
+    sentAt = this.options.virtualClock.monotonicNow(),
+  ): StartOutcome {
     if (this.isReplaced) return refused('other-life', 0);
     this.settle();
     const clock = this.clock();
@@ -227,7 +231,7 @@
       killed: undefined,
       hasLapsed: false,
     });
-    this.options.ledger.recordStart(order.taskName, this.id);
+    this.options.ledger.recordStart(order.taskName, this.id, sentAt);
     this.checkCapacity();
     return {kind: 'started', clock};
   }
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -3,6 +3,8 @@
   type RandomSource,
   SeededRandomSource,
 } from '@cardamomfield/clock';
+import type {ShardOwner} from '@cardamomfield/shard-owner';
+import {AnswerLedger} from './answer_ledger.js';
 import type {HostOverrides} from './host_overrides.js';
 import {MemoryCellWorker} from './memory_cell_worker.js';
 import {MemoryShardStore} from './memory_shard_store.js';
@@ -40,6 +42,9 @@
 /** Share of actions that concern workers and work, not hosts or the store. */
 const WORKER_ACTION_SHARE = 0.85;
 
+/** Time for the answers to the last questions. */
+const ANSWER_MILLISECONDS = 1_000;
+
 const LONGEST_DRAIN_MILLISECONDS = 8_000;
 const LONGEST_CUT_MILLISECONDS = 12_000;
 const LONGEST_LAPSE_MILLISECONDS = 6_000;
@@ -55,6 +60,8 @@
   submitsLargeWork?: boolean;
 }
 
+type Submission = ReturnType<typeof createSubmission>;
+
 interface OwnershipSimulationResult {
   violations: string[];
   submitted: number;
@@ -66,8 +73,9 @@
  * Simulates several hosts that claim one shard and submit work under random
  * faults: network partitions, process pauses, kills, worker restarts, late
  * orders, lost answers and outages of the store; on request also drains, lapsed
- * entries and pauses of workers. The ledger of the workers'
- * runs records every violated guarantee.
+ * entries and pauses of workers.
+ * The ledgers of the workers' runs and of the answers to callers record every
+ * violated guarantee.
  */
 export class OwnershipSimulation {
   private readonly virtualClock = ManualClock.create();
@@ -75,8 +83,9 @@
   private readonly store = MemoryShardStore.create();
   private readonly workers = new Map<string, MemoryCellWorker>();
   private readonly hosts: SimulatedOwnerHost[] = [];
+  private readonly answers = AnswerLedger.create(this.ledger);
   private readonly random: RandomSource;
-  private readonly accepted = new Set<string>();
+  private readonly submissions = new Map<string, Submission>();
   private readonly cancelled = new Set<string>();
   private submitted = 0;
   private highestTerm = 0;
@@ -143,7 +152,7 @@
     return {
       violations: this.ledger.violations,
       submitted: this.submitted,
-      accepted: this.accepted.size,
+      accepted: this.answers.accepted.size,
       completed,
     };
   }
@@ -271,29 +280,75 @@
   }
 
   private submit(): void {
-    const owner = this.hosts.find(host => host.owner)?.owner;
-    if (!owner) return;
-    const id = this.submitted.toString(16).padStart(16, '0');
-    this.submitted++;
-    const {queue, specification} = createSubmission(
-      this.options.submitsLargeWork
-        ? this.pick(LARGE_TASK_COUNTS)
-        : 1 + this.random.integerBelow(3),
+    const host = this.hosts.find(({owner}) => owner);
+    if (!host?.owner) return;
+    const id = idOf(this.submitted++);
+    this.submissions.set(
+      id,
+      createSubmission(
+        this.options.submitsLargeWork
+          ? this.pick(LARGE_TASK_COUNTS)
+          : 1 + this.random.integerBelow(3),
+      ),
     );
+    this.submitTo(host.owner, id);
+  }
+
+  private submitTo(owner: ShardOwner, id: string): void {
+    const submission = this.submissions.get(id);
+    if (!submission) return;
+    const {queue, specification} = submission;
     void owner.submit(id, queue, specification).then(result => {
-      if (result.isRight()) this.accepted.add(id);
+      if (result.isRight()) this.answers.accepted.add(id);
     });
   }
 
   private cancel(): void {
-    const owner = this.hosts.find(host => host.owner)?.owner;
-    if (!owner || this.accepted.size === 0) return;
-    const id = this.pick([...this.accepted]);
-    void owner.cancel(id).then(result => {
-      if (result.isRight()) this.cancelled.add(id);
+    const host = this.hosts.find(({owner}) => owner);
+    if (!host?.owner || this.answers.accepted.size === 0) return;
+    const id = this.pick([...this.answers.accepted]);
+    this.cancelAt(host, host.owner, id);
+  }
+
+  private cancelAt(
+    host: SimulatedOwnerHost,
+    owner: ShardOwner,
+    id: string,
+  ): void {
+    this.answers.recordCancelRequest(id);
+    const result = owner.cancel(id);
+    void result.then(answer => {
+      if (answer.isRight()) this.cancelled.add(id);
+    });
+    void this.receive(host, result).then(answer => {
+      if (!answer) return;
+      const now = this.virtualClock.monotonicNow();
+      this.answers.recordCancelAnswer(id, answer, now);
     });
   }
 
+  private showAt(
+    host: SimulatedOwnerHost,
+    owner: ShardOwner,
+    id: string,
+  ): void {
+    const known = this.answers.knownAnswers(id);
+    void this.receive(host, owner.show(id)).then(answer => {
+      if (answer) this.answers.recordShown(id, known, answer);
+    });
+  }
+
+  /** The answer of a process, unless it crashes before it has sent it. */
+  private async receive<Answer>(
+    host: SimulatedOwnerHost,
+    result: Promise<Answer>,
+  ): Promise<Answer | undefined> {
+    const {kills} = host;
+    const answer = await result;
+    await host.clock.whenRunning();
+    return host.kills === kills ? answer : undefined;
+  }
+
   /** Clears all faults and waits until the accepted submissions have ended. */
   private async finish(): Promise<number> {
     this.store.isDown = false;
@@ -309,27 +364,43 @@
         this.highestTerm++;
         continue;
       }
-      completed = [...this.accepted].filter(id =>
+      completed = [...this.answers.accepted].filter(id =>
         hasEnded(owner.describe(id)),
       ).length;
-      if (completed === this.accepted.size) break;
+      if (completed === this.answers.accepted.size) break;
     }
     await this.advance(STOP_MILLISECONDS);
-    for (const name of this.ledger.runningTasks()) {
-      const [id = ''] = name.split('.');
-      if (!this.cancelled.has(id)) continue;
+    const cancelledTasks = new Set([
+      ...this.ledger.runningTasks().filter(name => {
+        const [id = ''] = name.split('.');
+        return this.cancelled.has(id);
+      }),
+      ...this.ledger.runningCancelledTasks(),
+    ]);
+    for (const name of cancelledTasks) {
       this.ledger.violations.push(
         `${name} still runs although its submission was cancelled`,
       );
     }
-    if (completed < this.accepted.size) {
+    if (completed < this.answers.accepted.size) {
       this.ledger.violations.push(
-        `${this.accepted.size - completed} accepted submissions did not end`,
+        `${this.answers.accepted.size - completed} accepted submissions did not end`,
       );
     }
+    await this.showAll();
     return completed;
   }
 
+  /** Checks what the present owner shows of every submission. */
+  private async showAll(): Promise<void> {
+    for (const host of this.hosts) {
+      const {owner} = host;
+      if (!owner) continue;
+      for (const id of this.submissions.keys()) this.showAt(host, owner, id);
+    }
+    await this.advance(ANSWER_MILLISECONDS);
+  }
+
   private clearFaults(worker: MemoryCellWorker): void {
     worker.isListed = true;
     worker.resume();
@@ -344,3 +415,7 @@
 function hasEnded(state: unknown): boolean {
   return state === 'completed' || state === 'cancelled';
 }
+
+function idOf(index: number): string {
+  return index.toString(16).padStart(16, '0');
+}
--- a/packages/cell-stand-ins/src/run_ledger.ts
+++ b/packages/cell-stand-ins/src/run_ledger.ts
@@ -1,3 +1,9 @@
+/**
+ * Tasks may start for this time after the cancellation of their submission was
+ * acknowledged (`cancel_ms` of the platform).
+ */
+const CANCEL_MILLISECONDS = 3_000;
+
 /** Records the runs of all workers and every violated guarantee. */
 export class RunLedger {
   readonly violations: string[] = [];
@@ -8,6 +14,9 @@
   /** Checks of whether a task runs on a worker right now, by worker. */
   private readonly checks = new Map<string, (taskName: string) => boolean>();
 
+  /** Virtual time of the first acknowledged cancellation, by submission. */
+  private readonly cancelAcknowledgedAt = new Map<string, number>();
+
   private constructor() {}
 
   static create(): RunLedger {
@@ -25,8 +34,18 @@
     this.checks.set(workerName, isRunning);
   }
 
-  /** Records that a worker started a run. */
-  recordStart(taskName: string, workerName: string): void {
+  /**
+   * Records that a worker started a run on an order that left its owner at
+   * `sentAt`. Time limits count from there: an owner cannot take back an order
+   * that is carried out late, it can only stop the run.
+   */
+  recordStart(taskName: string, workerName: string, sentAt: number): void {
+    const sinceCancel = sentAt - this.cancelledAt(taskName);
+    if (sinceCancel > CANCEL_MILLISECONDS) {
+      this.violations.push(
+        `${taskName} started on ${workerName}, ordered ${Math.round(sinceCancel)} ms after its cancellation was acknowledged`,
+      );
+    }
     const others = this.running.get(taskName) ?? new Set<string>();
     const current = [...others].filter(
       name => this.checks.get(name)?.(taskName) ?? true,
@@ -56,6 +75,28 @@
     return [...this.running.keys()].filter(name => this.isRunning(name));
   }
 
+  /** Records that a caller learned that a submission never runs any more. */
+  recordCancelAcknowledgement(submissionId: string, now: number): void {
+    if (this.isCancelAcknowledged(submissionId)) return;
+    this.cancelAcknowledgedAt.set(submissionId, now);
+  }
+
+  isCancelAcknowledged(submissionId: string): boolean {
+    return this.cancelAcknowledgedAt.has(submissionId);
+  }
+
+  /** Running tasks whose submission was acknowledged as cancelled. */
+  runningCancelledTasks(): string[] {
+    return this.runningTasks().filter(
+      name => this.cancelledAt(name) < Infinity,
+    );
+  }
+
+  private cancelledAt(taskName: string): number {
+    const [submissionId = ''] = taskName.split('.');
+    return this.cancelAcknowledgedAt.get(submissionId) ?? Infinity;
+  }
+
   /** Records that an owner acknowledged the successful end of a task. */
   recordDone(taskName: string): void {
     this.done.add(taskName);
--- a/packages/cell-stand-ins/src/simulated_owner_host.ts
+++ b/packages/cell-stand-ins/src/simulated_owner_host.ts
@@ -54,6 +54,8 @@
     {isPartitioned: boolean; delayProbability: number}
   >();
   owner: ShardOwner | undefined;
+  /** Number of crashes. */
+  kills = 0;
   private incarnation = 0;
   private isClaiming = false;
 
@@ -121,6 +123,7 @@
 
   /** Simulates a crash: the next process starts without any state. */
   kill(): void {
+    this.kills++;
     this.incarnation++;
     this.owner?.stop();
     this.owner = undefined;
