Let callers call former owners in the random runs

Cancellations went only to the first host that is the owner, for accepted jobs only. They name jobs without an outcome and IDs that are submitted only afterwards. A paused process handles a call once it runs again, and a crashed one sends no answer. At the end the present owner has to show every submission.

So the checks are not broken by faults alone, and notice a missing proof. Until the fix, the test of that defect would pass without the defect as well.

--- a/packages/cell-stand-ins/src/answer_ledger.ts
+++ b/packages/cell-stand-ins/src/answer_ledger.ts
@@ -15,6 +15,8 @@
 export class AnswerLedger {
   /** Submissions whose acceptance a caller was told. */
   readonly accepted = new Set<string>();
+  /** Number of answers that name a state or say that there is none. */
+  shown = 0;
   private readonly cancelRequested = new Set<string>();
   /** The first final state that a caller was shown, by submission. */
   private readonly finalStates = new Map<string, SubmissionState>();
@@ -57,6 +59,7 @@
     answer: Either<TypedError, {state: SubmissionState}>,
   ): void {
     const isUnknown = answer.extract() instanceof NotFoundError;
+    if (answer.isRight() || isUnknown) this.shown++;
     if (answer.isRight()) {
       const {state} = answer.unsafeCoerce();
       if (state === 'queued' || state === 'running') {
--- a/packages/cell-stand-ins/src/main.ts
+++ b/packages/cell-stand-ins/src/main.ts
@@ -27,6 +27,12 @@
     default: false,
     describe: 'submissions have very different numbers of tasks',
   })
+  .option('cancels', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'callers also submit, cancel and ask at every host that takes itself for the owner',
+  })
   .strict()
   .parse();
 
@@ -55,6 +61,7 @@
   const {violations, completed} = await OwnershipSimulation.run(seed, {
     drainsWorkers: options.drains,
     submitsLargeWork: options.large,
+    cancelsAtEveryHost: options.cancels,
   });
   count += completed;
   return violations;
--- a/packages/cell-stand-ins/src/ownership_simulation.test.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.test.ts
@@ -153,6 +153,34 @@
     },
   );
 
+  // Guards against UNASKED and LOST: a former owner told callers from memory
+  // that a job does not exist, or showed an old state of it.
+  it.fails(
+    'upholds its guarantees while callers call former owners',
+    async () => {
+      const broken: number[] = [];
+      for (const seed of SEEDS) {
+        const {violations} = await OwnershipSimulation.run(seed, {
+          cancelsAtEveryHost: true,
+        });
+        if (violations.length > 0) broken.push(seed);
+      }
+      expect(broken).toEqual([]);
+    },
+  );
+
+  // Without completed work the test above would prove nothing.
+  it('completes work while callers call former owners', async () => {
+    let completed = 0;
+    for (const seed of SEEDS) {
+      const result = await OwnershipSimulation.run(seed, {
+        cancelsAtEveryHost: true,
+      });
+      completed += result.completed;
+    }
+    expect(completed).toBeGreaterThan(SEEDS.length);
+  });
+
   // Each of the following tests disables one part of the protocol. If no
   // simulation failed, the tests above would prove nothing about that part.
   it('detects calls that do not carry the fencing token', async () => {
@@ -232,4 +260,23 @@
     };
     expect(await isDetected(overrides)).toBe(true);
   });
+
+  // Counts only against a product that keeps its answers without the defect.
+  it('detects answers to callers that rest on no proof of the epoch', async () => {
+    const wrapLog = (log: ShardLog): ShardLog => ({
+      readNewest: () => log.readNewest(),
+      confirmEpoch: () => Promise.resolve(Right(undefined)),
+      append: (records, epoch, sequence) =>
+        log.append(records, epoch, sequence),
+    });
+    const broken: number[] = [];
+    for (const seed of SEEDS) {
+      const {violations} = await OwnershipSimulation.run(seed, {
+        wrapLog,
+        cancelsAtEveryHost: true,
+      });
+      if (violations.some(isOfAnswer)) broken.push(seed);
+    }
+    expect(broken).not.toEqual([]);
+  });
 });
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -42,6 +42,23 @@
 /** Share of actions that concern workers and work, not hosts or the store. */
 const WORKER_ACTION_SHARE = 0.85;
 
+/** Shares of the steps in which callers call a host that is an owner. */
+const SUBMIT_SHARE = 0.08;
+const CANCEL_SHARE = 0.12;
+const SHOW_SHARE = 0.4;
+
+/** Callers ask about this many of the newest submissions. */
+const RECENT_COUNT = 8;
+
+/** Callers also ask about this many IDs that are submitted only afterwards. */
+const UPCOMING_COUNT = 2;
+
+/** Keeps the seeds of the callers apart from those of the other draws. */
+const CALLER_SEED_OFFSET = 500_000_000;
+
+/** Longest time after which a delayed order is carried out, and its stop. */
+const LATE_ORDER_MILLISECONDS = 7_000;
+
 /** Time for the answers to the last questions. */
 const ANSWER_MILLISECONDS = 1_000;
 
@@ -58,6 +75,11 @@
   drainsWorkers?: boolean;
   /** Whether submissions have very different numbers of tasks. */
   submitsLargeWork?: boolean;
+  /**
+   * Whether callers also submit, cancel and ask at every host that takes itself
+   * for the owner, about unanswered and future submissions too.
+   */
+  cancelsAtEveryHost?: boolean;
 }
 
 type Submission = ReturnType<typeof createSubmission>;
@@ -73,7 +95,7 @@
  * Simulates several hosts that claim one shard and submit work under random
  * faults: network partitions, process pauses, kills, worker restarts, late
  * orders, lost answers and outages of the store; on request also drains, lapsed
- * entries and pauses of workers.
+ * entries and pauses of workers, or calls at hosts that were owners before.
  * The ledgers of the workers' runs and of the answers to callers record every
  * violated guarantee.
  */
@@ -85,6 +107,8 @@
   private readonly hosts: SimulatedOwnerHost[] = [];
   private readonly answers = AnswerLedger.create(this.ledger);
   private readonly random: RandomSource;
+  /** A source of its own, so that other draws don't depend on the callers. */
+  private readonly callerRandom: RandomSource;
   private readonly submissions = new Map<string, Submission>();
   private readonly cancelled = new Set<string>();
   private submitted = 0;
@@ -95,6 +119,7 @@
     private readonly options: OwnershipSimulationOptions,
   ) {
     this.random = SeededRandomSource.create(seed);
+    this.callerRandom = SeededRandomSource.create(seed + CALLER_SEED_OFFSET);
     const overrides: HostOverrides = options.drainsWorkers
       ? {...SLOW_KILLS, ...options}
       : options;
@@ -142,6 +167,7 @@
     if (this.options.drainsWorkers) this.claimIfUnowned();
     for (let step = 0; step < ACTION_COUNT; step++) {
       this.performRandomAction();
+      if (this.options.cancelsAtEveryHost) this.callOwners();
       await this.advance(
         this.random.integerBelow(LONGEST_INTERVAL_MILLISECONDS),
       );
@@ -349,11 +375,65 @@
     return host.kills === kills ? answer : undefined;
   }
 
+  /** Lets callers call every host that takes itself for the owner. */
+  private callOwners(): void {
+    for (const host of this.hosts) {
+      const {owner} = host;
+      if (!owner) continue;
+      if (this.callerRandom.fraction() < SUBMIT_SHARE) {
+        const id = this.pickSubmission();
+        this.call(host, owner, () => this.submitTo(owner, id));
+      }
+      if (this.callerRandom.fraction() < CANCEL_SHARE) {
+        const id = this.pickRecentId();
+        this.call(host, owner, () => this.cancelAt(host, owner, id));
+      }
+      if (this.callerRandom.fraction() < SHOW_SHARE) {
+        const id = this.pickRecentId();
+        this.call(host, owner, () => this.showAt(host, owner, id));
+      }
+    }
+  }
+
+  /** A paused process handles calls once it runs again, unless it crashes. */
+  private call(
+    host: SimulatedOwnerHost,
+    owner: ShardOwner,
+    handle: () => void,
+  ): void {
+    void host.clock.whenRunning().then(() => {
+      if (host.owner === owner) handle();
+    });
+  }
+
+  /** A new submission, or the newest one that has no positive answer yet. */
+  private pickSubmission(): string {
+    const unanswered = [...this.submissions.keys()].findLast(
+      id => !this.answers.accepted.has(id),
+    );
+    if (unanswered && this.callerRandom.fraction() < 0.5) return unanswered;
+    const id = idOf(this.submitted++);
+    const taskCount = 1 + this.callerRandom.integerBelow(3);
+    this.submissions.set(id, createSubmission(taskCount));
+    return id;
+  }
+
+  private pickRecentId(): string {
+    const first = Math.max(0, this.submitted - RECENT_COUNT);
+    const end = this.submitted + UPCOMING_COUNT;
+    return idOf(first + this.callerRandom.integerBelow(end - first));
+  }
+
   /** Clears all faults and waits until the accepted submissions have ended. */
   private async finish(): Promise<number> {
     this.store.isDown = false;
     for (const host of this.hosts) host.clearFaults();
     for (const worker of this.workers.values()) this.clearFaults(worker);
+    // Former owners learn that they were replaced, so that the owner found below
+    // is the present one, and orders sent before the end are carried out.
+    if (this.options.cancelsAtEveryHost) {
+      await this.advance(LATE_ORDER_MILLISECONDS);
+    }
     const endsAt = this.virtualClock.monotonicNow() + RECOVERY_MILLISECONDS;
     let completed = 0;
     while (this.virtualClock.monotonicNow() < endsAt) {
@@ -398,7 +478,15 @@
       if (!owner) continue;
       for (const id of this.submissions.keys()) this.showAt(host, owner, id);
     }
+    const shownBefore = this.answers.shown;
     await this.advance(ANSWER_MILLISECONDS);
+    // Other modes may end at a former owner, which has no present state to show.
+    const shown = this.answers.shown - shownBefore;
+    if (this.options.cancelsAtEveryHost && shown < this.submissions.size) {
+      this.ledger.violations.push(
+        `only ${shown} of ${this.submissions.size} submissions were shown at the end`,
+      );
+    }
   }
 
   private clearFaults(worker: MemoryCellWorker): void {
