Take back no removal of a record while the log is down

What callers would see: a POST answered 503, whose job runs; or a cancelled job that runs once the record of its ending has been deleted, 120 s or more later. Found while checking what a 200 rests on, not seen by callers.

Cause: `refuseUnsent` took any mark of a submission's key for a record that was never sent. A DELETE during the admission marks the key again, for its removal.

Evidence: three tests fail before: a key that an append in flight holds, a key in a completed part of an unfinished batch (shard_journal.test.ts), and the second from end to end (outage_admission.test.ts: refused, and running at the next owner).

--- a/packages/cell-stand-ins/src/outage_admission.test.ts
+++ b/packages/cell-stand-ins/src/outage_admission.test.ts
@@ -1,4 +1,6 @@
-import {UnavailableError} from '@cardamomfield/errors';
+import type {ShardLog} from '@cardamomfield/cell-model';
+import {UnavailableError, UncertainError} from '@cardamomfield/errors';
+import {Left} from 'purify-ts';
 import {expect, it} from 'vitest';
 import {CellHarness} from './cell_harness.js';
 import {createSubmission} from './plain_submission.js';
@@ -63,3 +65,58 @@
   expect(store.read().filter(({key}) => key.includes(UNSENT))).toEqual([]);
   host.kill();
 });
+
+// Guards against a submission that is refused and runs all the same: it was
+// recorded with the first part of its batch and cancelled during the outage.
+it('refuses no submission whose record has been appended', async () => {
+  const state = {failsFrom: Infinity, appends: 0, isDown: false};
+  const wrapLog = (log: ShardLog): ShardLog => ({
+    readNewest: () => log.readNewest(),
+    confirmEpoch: async epoch =>
+      state.isDown
+        ? Left(UnavailableError.create('down'))
+        : log.confirmEpoch(epoch),
+    append: async (records, epoch, sequence) => {
+      // The first part of a batch reaches the store, nothing after it does.
+      if (state.isDown && records.every(({key}) => key !== `s/${SENT}`)) {
+        return Left(UncertainError.create('no answer'));
+      }
+      return log.append(records, epoch, sequence);
+    },
+  });
+  const harness = CellHarness.create({
+    seed: 1,
+    overrides: {wrapLog, limits: {requestBytes: 2_400}},
+  });
+  const {virtualClock, ledger} = harness;
+  const first = harness.addHost('first');
+  const second = harness.addHost('second');
+  void first.claim(0);
+  await virtualClock.advance(4_000);
+  const {queue, specification} = createSubmission(1);
+  state.isDown = true;
+  const posted = first.owner?.submit(SENT, queue, specification);
+  void first.owner?.submit(UNSENT, queue, specification);
+  const answer: {value?: unknown} = {};
+  void posted?.then(result => {
+    answer.value = result.extract();
+  });
+  await virtualClock.advance(50);
+  expect(harness.store.read().map(({key}) => key)).toContain(`s/${SENT}`);
+  expect(answer.value).toBeUndefined();
+  // A cancellation of it is on its way; its ending cannot be recorded.
+  void first.owner?.cancel(SENT);
+  await virtualClock.advance(1_500);
+  first.kill();
+  state.isDown = false;
+  void second.claim(1);
+  await virtualClock.advance(3_200);
+  const hasRun = [...ledger.runningTasks()].some(task =>
+    String(task).includes(SENT),
+  );
+  expect({
+    isRefused: answer.value instanceof UnavailableError,
+    hasRun,
+  }).toEqual({isRefused: false, hasRun: true});
+  second.kill();
+});
--- a/packages/shard-owner/src/shard_journal.test.ts
+++ b/packages/shard-owner/src/shard_journal.test.ts
@@ -180,6 +180,49 @@
   journal.stop();
 });
 
+// Guards against a submission that runs again once the record of its ending is
+// deleted: its own record was sent, and the removal that was to follow was
+// taken back.
+it('withdraws no change of a key that an append in flight holds', async () => {
+  const {clock, calls, journal} = createJournal();
+  journal.mark('a');
+  await clock.advance(1);
+  expect(calls).toHaveLength(1);
+  journal.mark('a');
+  expect(journal.withdraw('a')).toBe(false);
+  calls[0]?.settle(Right(undefined));
+  await clock.advance(1);
+  expect(calls).toHaveLength(2);
+  journal.stop();
+});
+
+// Guards against a submission that is refused and runs all the same: a part of
+// its batch is durable, and the removal of its record was taken back.
+it('withdraws no key whose earlier value has been appended with a part of its batch', async () => {
+  const {clock, calls, journal} = createJournal({
+    requestBytes: 100,
+    value: 'v'.repeat(30),
+  });
+  journal.mark('a');
+  journal.mark('b');
+  let isCommitted = false;
+  void journal.commit().then(() => {
+    isCommitted = true;
+  });
+  await clock.advance(1);
+  expect(calls.map(({records}) => records.map(({key}) => key))).toEqual([
+    ['a'],
+    ['b'],
+  ]);
+  calls[0]?.settle(Right(undefined));
+  await clock.advance(1);
+  expect(isCommitted).toBe(false);
+  // `a` is durable, its commit is open, and its removal is marked.
+  journal.mark('a');
+  expect(journal.withdraw('a')).toBe(false);
+  journal.stop();
+});
+
 // Guards against appends that are larger than the log accepts because their
 // size is counted in characters: one of them may take three bytes.
 it('splits appends by their size in bytes', async () => {
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -134,6 +134,8 @@
 export class ShardJournal {
   private changedKeys = new Set<string>();
   private waiters: Waiter[] = [];
+  /** Keys that were sent, by batch, as long as the batch is not durable. */
+  private readonly sentKeys = new Map<number, ReadonlySet<string>>();
   /** Appends without success so far, oldest first. */
   private readonly pendingAppends: PendingAppend[] = [];
   /** Number of the batch that newly marked changes belong to. */
@@ -188,7 +190,9 @@
    * false if it has been sent, in which case it is or may yet become durable.
    */
   withdraw(key: string): boolean {
-    return this.changedKeys.delete(key);
+    if (!this.changedKeys.has(key)) return false;
+    const isSent = [...this.sentKeys.values()].some(keys => keys.has(key));
+    return !isSent && this.changedKeys.delete(key);
   }
 
   /** Resolves once all changes marked so far are durable. */
@@ -408,8 +412,10 @@
   }
 
   private sendChanges(): void {
+    const keys = new Set(this.changedKeys);
     const chunks = this.takeChunks();
     const batch = this.openBatch++;
+    this.sentKeys.set(batch, keys);
     for (const [index, records] of chunks.entries()) {
       const pending: PendingAppend = {
         records,
@@ -487,6 +493,9 @@
     }
     this.pendingSince = this.pendingAppends[0]?.sentAt;
     this.durableBatch = Math.max(this.durableBatch, newest.completedBatch);
+    for (const batch of this.sentKeys.keys()) {
+      if (batch <= this.durableBatch) this.sentKeys.delete(batch);
+    }
     this.provedCall = Math.max(this.provedCall, newest.call);
     this.resolveWaiters();
     this.wakeUp.notify();
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -426,6 +426,8 @@
    */
   private refuseUnsent(): void {
     for (const [id, admission] of this.admissions) {
+      // The mark of one that has ended is for the removal of its record.
+      if (admission.submission.ending) continue;
       const key = RecordCodec.submissionKey(id);
       if (!this.journal.withdraw(key)) continue;
       this.withdraw(admission);
