Count a repeated append as a proof of its first sending only

What could follow: starts, renewed leases and counts by a former owner.

Cause: the proof of an epoch took the time at which the successful repeat was sent. PROTOCOL.md says that a repeat of one of the last five appends receives its first response again, and does not say that a newer epoch is checked before; our stand-ins check it first, so no run can show the fault.

Evidence: "takes the first sending of a repeated append as the time of its proof" fails before: proof age 41 ms after 5 s without the store.

Why this works: the record was applied at some time after its first sending, which is all that either reading of the page promises.

--- a/packages/shard-owner/src/shard_journal.test.ts
+++ b/packages/shard-owner/src/shard_journal.test.ts
@@ -5,6 +5,7 @@
   InvalidInputError,
   type TypedError,
   UnavailableError,
+  UncertainError,
 } from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
 import {MemoryMetrics} from '@cardamomfield/metrics';
@@ -196,6 +197,34 @@
   journal.stop();
 });
 
+// Guards against an owner that starts runs on a proof of the past: the log may
+// answer a repeated append as it answered the first sending, also after another
+// host has claimed the shard.
+it('takes the first sending of a repeated append as the time of its proof', async () => {
+  const {clock, calls, journal} = createJournal();
+  journal.mark('a');
+  await clock.advance(1);
+  // The store has applied it; its answer is lost.
+  calls[0]?.settle(Left(UncertainError.create('no answer')));
+  // The owner does not reach the store; another host claims the shard.
+  for (let round = 0; round < 10; round++) {
+    await clock.advance(500);
+    calls.at(-1)?.settle(Left(UncertainError.create('no answer')));
+  }
+  await clock.advance(100);
+  expect(journal.hasAuthority()).toBe(false);
+  // The store answers the repeat as it answered the append.
+  calls.at(-1)?.settle(Right(undefined));
+  await clock.advance(1);
+  expect(journal.proofAgeMilliseconds).toBeGreaterThan(3_000);
+  expect(journal.hasAuthority()).toBe(false);
+  // The next call shows it, up to a second later.
+  await clock.advance(1_000);
+  expect(calls.at(-1)?.kind).toBe('proof');
+  calls.at(-1)?.settle(Left(ConflictError.create('fenced')));
+  await clock.advance(1);
+});
+
 // Guards against a submission that is refused and runs all the same: a part of
 // its batch is durable, and the removal of its record was taken back.
 it('withdraws no key whose earlier value has been appended with a part of its batch', async () => {
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -453,7 +453,9 @@
         await this.options.clock.sleepUntil(
           this.options.clock.monotonicNow() + REORDER_DELAY_MILLISECONDS,
         );
-      } else if (await this.handleOutcome(result, sentAt, pausesBefore)) {
+      } else if (
+        await this.handleOutcome(result, sentAt, pausesBefore, pending.sentAt)
+      ) {
         this.complete(pending);
       } else if (result.extract() instanceof InvalidInputError) {
         this.handleRefusal(pending, result.extract() as TypedError);
@@ -543,11 +545,16 @@
     return this.options.replace(key);
   }
 
-  /** Handles the outcome of a call; false means that it is to be repeated. */
+  /**
+   * Handles the outcome of a call; false means that it is to be repeated. The
+   * log may answer a repeat as it answered the first sending, so a success
+   * proves the epoch for the time of the first one only.
+   */
   private async handleOutcome(
     result: Either<TypedError, void>,
     sentAt: number,
     pausesBefore: number,
+    firstSentAt = sentAt,
   ): Promise<boolean> {
     const {clock, logger, metrics} = this.options;
     metrics.timing('log_append_milliseconds', clock.monotonicNow() - sentAt, {
@@ -559,7 +566,7 @@
       // If the process paused during the call, the monotonic clock makes the
       // call look more recent than it is, so it does not count as a proof.
       if (this.pauseCount === pausesBefore) {
-        this.provedAt = Math.max(this.provedAt, sentAt);
+        this.provedAt = Math.max(this.provedAt, firstSentAt);
       }
       this.lastCallMilliseconds = clock.monotonicNow() - sentAt;
       this.pauseDetector.resetBaseline();
