Answer nothing about submissions whose record cannot be read

What callers would see during an update of the hosts: 410 for a job that the log holds, and a repeated POST that replaces it. Worse, the progress of such a job was deleted from the log as useless, and a job whose ending could not be read ran again. Not seen by callers.

Cause: the owner logged `record unreadable` and forgot the ID.

Why this works: the owner keeps these IDs. A GET gets 503, a POST 504, a DELETE records a cancelled ending unless the unreadable record is an ending; the other records of the ID stay.

--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -16,6 +16,8 @@
   readonly ended = new Map<string, EndedSubmission>();
   /** Newest endings that are not durable yet, by submission. */
   private readonly pendingEndings = new Map<string, EndedSubmission>();
+  /** The record in the log that this version cannot read, by submission. */
+  readonly unreadable = new Map<string, 'submission' | 'ending'>();
   readonly workers = new Map<string, WorkerState>();
   /** Estimated heap that all unfinished submissions take. */
   private usedMemoryBytes = 0;
@@ -194,6 +196,8 @@
       const name = RecordCodec.parseKey(key);
       if (!name) return;
       const {kind, id} = name;
+      // The records of such a submission are left to a version that reads them.
+      if (this.unreadable.has(id)) return;
       if (kind === 'ending') {
         const ended = RecordCodec.decodeEnding(value);
         this.setEnded(id, ended);
@@ -209,6 +213,10 @@
     } catch {
       // The caller logs the key and leaves the record unchanged.
       restored.unreadable.push(key);
+      const name = RecordCodec.parseKey(key);
+      if (name?.kind === 'ending' || name?.kind === 'submission') {
+        this.unreadable.set(name.id, name.kind);
+      }
     }
   }
 
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -30,6 +30,7 @@
   NotFoundError,
   type TypedError,
   UnavailableError,
+  UncertainError,
 } from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
@@ -250,6 +251,9 @@
     if (this.state.submissions.get(id)?.isAccepted) {
       return Right({decision: this.decision('record')});
     }
+    if (this.state.unreadable.has(id)) {
+      return Left(UncertainError.create(unreadableMessage(id)));
+    }
     const pending = this.admissions.get(id);
     if (pending) return this.decideOn(pending.outcome);
     const checked = this.submissionLimits.check(queue, specification);
@@ -317,6 +321,9 @@
     if (ending) {
       return Right({state: ending, decision: this.decision('record')});
     }
+    if (this.state.unreadable.has(id)) {
+      return Left(UnavailableError.create(unreadableMessage(id)));
+    }
     if (this.journal.isLogDown()) return Left(this.logDownError());
     // A submission that is being recorded is known once that has succeeded.
     await this.admissions.get(id)?.outcome;
@@ -341,6 +348,7 @@
     const submission = this.state.submissions.get(id);
     const ended = this.state.ended.get(id);
     if (submission) this.runTracker.endSubmission(submission, 'cancelled');
+    else if (!ended && this.state.unreadable.has(id)) this.endUnreadable(id);
     else if (!ended || ended.isUnsubmitted) return this.cancelUnknown(id);
     return this.decideOn(this.journal.commit());
   }
@@ -371,6 +379,17 @@
     return Left(unknownSubmission(id, decision));
   }
 
+  /** Ends a submission that only another version can read, if it has not ended. */
+  private endUnreadable(id: string): void {
+    if (this.state.unreadable.get(id) === 'ending') return;
+    this.state.unreadable.delete(id);
+    this.journal.mark(RecordCodec.submissionKey(id));
+    void this.recordEnding(id, {
+      ending: 'cancelled',
+      endedAtUnixMilliseconds: this.options.clock.wallNow(),
+    });
+  }
+
   /** Stores an ending, which callers see once it is durable. */
   private async recordEnding(
     id: string,
@@ -857,6 +876,10 @@
   };
 }
 
+function unreadableMessage(id: string): string {
+  return `the record of submission ${id} cannot be read by this version`;
+}
+
 function unknownSubmission(id: string, decision: Decision): TypedError {
   return NotFoundError.create(`submission ${id} does not exist`, {decision});
 }
