--- a/packages/cell-stand-ins/src/ownership_simulation.test.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.test.ts
@@ -247,14 +247,14 @@
       append: (records, epoch, sequence) =>
         log.append(records, epoch, sequence),
     });
-    const broken: number[] = [];
-    for (const seed of SEEDS) {
+    let isFound = false;
+    for (let seed = 1; seed <= DEFECT_SEEDS && !isFound; seed++) {
       const {violations} = await OwnershipSimulation.run(seed, {
         wrapLog,
         cancelsAtEveryHost: true,
       });
-      if (violations.some(isOfAnswer)) broken.push(seed);
+      isFound = violations.some(isOfAnswer);
     }
-    expect(broken).not.toEqual([]);
+    expect(isFound).toBe(true);
   });
 });
