--- a/packages/cell-stand-ins/src/answer_ledger.ts
+++ b/packages/cell-stand-ins/src/answer_ledger.ts
@@ -93,7 +93,7 @@
     }
   }
 
-  /** Final states never change, in whichever order their callers asked. */
+  /** Final states never change, whatever the order in which callers asked. */
   private checkFinal(id: string, state: SubmissionState): void {
     const earlier = this.finalStates.get(id);
     if (earlier && earlier !== state) {
