Prove the epoch by appends while there are changes to append

What callers would see: nothing wrong; a busy owner made up to 40 calls of the log a second for reads alone, beside its appends.

Why this works: an append in flight has to succeed before any waiting read is answered, and the next one is sent after the read arrived, so that it proves the epoch as well. A call of its own is sent only when there is nothing to append. The test of calls sent after the request checks the same with the proof sent after the append.

--- a/packages/shard-owner/src/shard_journal.test.ts
+++ b/packages/shard-owner/src/shard_journal.test.ts
@@ -108,9 +108,11 @@
   const committed = watch(journal.commit());
   const proved = watch(journal.prove());
   await clock.advance(1);
-  expect(calls.map(({kind}) => kind)).toEqual(['append', 'proof']);
+  // The append in flight is needed first, so that no other call is sent.
+  expect(calls.map(({kind}) => kind)).toEqual(['append']);
   calls[0]?.settle(Right(undefined));
   await clock.advance(1);
+  expect(calls.map(({kind}) => kind)).toEqual(['append', 'proof']);
   expect([committed.outcome, proved.outcome]).toEqual(['proved', 'open']);
   calls[1]?.settle(Right(undefined));
   await clock.advance(1);
@@ -118,6 +120,32 @@
   journal.stop();
 });
 
+// Guards against calls of the log that a busy owner makes for reads alone: they
+// take processor time from the work that waits.
+it('proves the epoch by its appends while it has changes to append', async () => {
+  const {clock, calls, journal, watch} = createJournal();
+  const reads: Array<{outcome: string}> = [];
+  for (let round = 0; round < 20; round++) {
+    journal.mark('a');
+    await clock.advance(1);
+    reads.push(watch(journal.prove()));
+    // Changes arrive while the append is in flight.
+    journal.mark('b');
+    await clock.advance(30);
+    calls.at(-1)?.settle(Right(undefined));
+    await clock.advance(1);
+  }
+  expect(calls.filter(({kind}) => kind === 'proof')).toEqual([]);
+  calls.at(-1)?.settle(Right(undefined));
+  await clock.advance(1);
+  calls.at(-1)?.settle(Right(undefined));
+  await clock.advance(1);
+  expect(new Set(reads.map(({outcome}) => outcome))).toEqual(
+    new Set(['proved']),
+  );
+  journal.stop();
+});
+
 // Guards against answers that rest on changes which the log does not hold yet.
 it('proves the epoch by the append of the changes that a request rests on', async () => {
   const {clock, calls, journal, watch} = createJournal();
--- a/packages/shard-owner/src/shard_journal.ts
+++ b/packages/shard-owner/src/shard_journal.ts
@@ -322,12 +322,12 @@
     }
   }
 
-  /** A waiter whose changes are not sent yet is served by their append. */
+  /** An append that is in flight or about to be sent serves the waiters. */
   private isProofRequested(): boolean {
-    const newestInFlight = Math.max(
-      this.pendingAppends.at(-1)?.call ?? 0,
-      ...this.proofsInFlight,
-    );
+    if (this.pendingAppends.length > 0 || this.changedKeys.size > 0) {
+      return false;
+    }
+    const newestInFlight = Math.max(0, ...this.proofsInFlight);
     return this.waiters.some(
       ({batch, call}) => batch < this.openBatch && call > newestInFlight,
     );
