Let reads that wait for a proof hold up no changes

Cause, suspected: a host has 12 connections to the owner. A read now occupies one until the epoch is proved, under load for as long as a second, and submissions of the same host wait behind it.

Evidence: "makes changes while reads wait for their answers" fails before.

Why this works: reads share six connections of their own.

--- a/packages/cell-host/src/peer_client.test.ts
+++ b/packages/cell-host/src/peer_client.test.ts
@@ -4,9 +4,13 @@
 import {afterEach, expect, it} from 'vitest';
 import {PeerClient} from './peer_client.js';
 import {PeerMessages} from './peer_messages.js';
+import {PeerMethod} from './peer_method.js';
 
 const TEST_TIMEOUT_MILLISECONDS = 5_000;
 
+/** More reads than a host has connections to another one. */
+const WAITING_READS = 30;
+
 let server: Server;
 
 afterEach(() => {
@@ -42,3 +46,43 @@
   },
   TEST_TIMEOUT_MILLISECONDS,
 );
+
+// Guards against submissions that wait until their deadline behind reads, which
+// the owner answers only after a proof of its epoch.
+it(
+  'makes changes while reads wait for their answers',
+  async () => {
+    server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => {
+        const {id, method} = JSON.parse(Buffer.concat(chunks).toString()) as {
+          id: number;
+          method: string;
+        };
+        if (method === PeerMethod.show) return;
+        response.end(JSON.stringify({jsonrpc: '2.0', id, result: {}}));
+      });
+    });
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as AddressInfo;
+    const peers = PeerClient.create();
+    const call = (method: string) =>
+      peers.call(
+        `127.0.0.1:${port}`,
+        method,
+        {},
+        PeerMessages.empty,
+        TEST_TIMEOUT_MILLISECONDS / 2,
+      );
+    const reads = Array.from({length: WAITING_READS}, () =>
+      call(PeerMethod.show),
+    );
+    expect((await call(PeerMethod.submit)).isRight()).toBe(true);
+    server.closeAllConnections();
+    await Promise.all(reads);
+  },
+  TEST_TIMEOUT_MILLISECONDS,
+);
--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -11,6 +11,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {z} from 'zod';
 import {NotOwnerError} from './not_owner_error.js';
+import {PeerMethod} from './peer_method.js';
 
 /**
  * Maximum connections to one host; further calls wait for a free one. A new
@@ -18,6 +19,18 @@
  */
 const CONNECTIONS_PER_HOST = 12;
 
+/**
+ * Further connections for reads of the owner's state. They wait for a proof of
+ * its epoch, and must not hold up the calls that change something.
+ */
+const READ_CONNECTIONS_PER_HOST = 6;
+
+/** Methods that only read the owner's state. */
+const READ_METHODS = new Set<string>([
+  PeerMethod.show,
+  PeerMethod.countPending,
+]);
+
 /** A host that accepts no connection within this time is unreachable. */
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
 
@@ -43,6 +56,7 @@
   private nextId = 1;
 
   private readonly clients = new Map<string, HttpClient>();
+  private readonly readClients = new Map<string, HttpClient>();
 
   private readonly unanswered = new WeakSet<TypedError>();
 
@@ -66,7 +80,15 @@
     let failure: TypedError | undefined;
     const client = new JSONRPCClient<void>(
       async body => {
-        const answer = await this.post(address, body, timeoutMilliseconds);
+        const http = READ_METHODS.has(method)
+          ? clientFor(this.readClients, address, READ_CONNECTIONS_PER_HOST)
+          : clientFor(this.clients, address, CONNECTIONS_PER_HOST);
+        const answer = await this.post(
+          http,
+          address,
+          body,
+          timeoutMilliseconds,
+        );
         if (answer.isLeft()) {
           failure = answer.extract() as TypedError;
           throw failure;
@@ -102,11 +124,12 @@
   }
 
   private async post(
+    client: HttpClient,
     address: string,
     body: unknown,
     timeoutMilliseconds: number,
   ): Promise<Either<TypedError, JSONRPCResponse>> {
-    const answer = await this.clientFor(address).call({
+    const answer = await client.call({
       url: `http://${address}/rpc`,
       method: 'POST',
       headers: {'content-type': 'application/json'},
@@ -122,19 +145,23 @@
       }
     });
   }
+}
 
-  private clientFor(address: string): HttpClient {
-    const known = this.clients.get(address);
-    if (known) return known;
-    const client = HttpClient.create({
-      connections: CONNECTIONS_PER_HOST,
-      connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-      keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
-      keepsSlowConnections: true,
-    });
-    this.clients.set(address, client);
-    return client;
-  }
+function clientFor(
+  clients: Map<string, HttpClient>,
+  address: string,
+  connections: number,
+): HttpClient {
+  const known = clients.get(address);
+  if (known) return known;
+  const client = HttpClient.create({
+    connections,
+    connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+    keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
+    keepsSlowConnections: true,
+  });
+  clients.set(address, client);
+  return client;
 }
 
 function toError(thrown: unknown): TypedError {
