--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,89 +1,93 @@
-// A machine with 602 MB accepts a timed submission. It is killed, and a machine
-// with 250 MB takes over. The submission has to stay known and not to fail.
+// A gang is handed in while one of twelve workers fails all that it starts.
 import {join} from 'node:path';
 import process from 'node:process';
 import {Cell, sleep, steady} from '../lib-2/cell.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-const ID = '5c0e7a21d94b36f8';
-const DOWN_MILLISECONDS = 3_500;
-const FIRST_AFTER_MILLISECONDS = 20_000;
-const INTERVAL_MILLISECONDS = 30_000;
-/** Every 30 s for five days. */
-const OCCURRENCES = 14_400;
-const TASKS = 8;
-
-// Machines and bounds of the page of the grown installations: 1.35 cores with
-// 602 MB, and 0.324 cores with 250 MB.
-const bounds = {
-  hold_max_ms: 6_000,
-  kill_timeout_ms: 900,
-  gang_timeout_ms: 4_000,
-  cancel_ms: 4_000,
-};
-const LARGE = {limits: {cpu_quota: 0.675, cores: 2, memory_mb: 602}, bounds};
-const SMALL = {limits: {cpu_quota: 0.324, cores: 1, memory_mb: 250}, bounds};
+const ID = '3e91b07c5d2a48f6';
+const DAEMONS = [1, 2, 3];
+const WORKERS = 12;
+const MEMBERS = 40;
+/** `max_attempts` of the queue. */
+const MAXIMUM_ATTEMPTS = 4;
+const GREY_MILLISECONDS = 6_500;
+const WORK_MILLISECONDS = 3_800;
 
 const cell = new Cell(join(import.meta.dirname, 'record.txt'));
+const workers = [];
+const gangs = new Map();
+
+/** Tells the members of a gang that all are present, or that one has ended. */
+function coordinate({event, task, attempt, how}) {
+  if (event !== 'start' && event !== 'end') return;
+  const name = `${task.slice(0, task.lastIndexOf('.'))}/${attempt}`;
+  const gang = gangs.get(name) ?? {present: 0, ends: []};
+  gangs.set(name, gang);
+  let command = '';
+  if (event === 'start') {
+    gang.present++;
+    if (gang.ends.length > 0) command = 'break';
+    else if (gang.present === MEMBERS) command = 'complete';
+  } else {
+    gang.ends.push(how);
+    // All members end `done` at the same time.
+    if (how !== 'done') command = 'break';
+  }
+  if (command === '') return;
+  for (const worker of workers) worker.stdin.write(`${command} ${name}\n`);
+}
 
 async function play() {
   await cell.startStore();
   await cell.publishDesiredState();
-  await cell.startWorker(1, {
-    longestLeaseMilliseconds: bounds.hold_max_ms,
-    killMilliseconds: bounds.kill_timeout_ms,
-  });
-  cell.startDaemon(1, LARGE);
-  if (!(await cell.awaitReady(1))) return 2;
-  cell.startDaemon(2, SMALL);
-  cell.startDaemon(3, SMALL);
-  if (!(await cell.awaitReady(2)) || !(await cell.awaitReady(3))) return 2;
-  await sleep(2_000);
-  const dueAt = Date.now() + FIRST_AFTER_MILLISECONDS;
-  const accepted = await cell.callUntil([1], [200], 10_000, 'POST', ID, {
-    spec: '{"ms":600}',
+  for (let index = 1; index <= WORKERS; index++) {
+    workers.push(await cell.startWorker(index, {}, coordinate));
+  }
+  for (const index of DAEMONS) cell.startDaemon(index);
+  for (const index of DAEMONS) {
+    if (!(await cell.awaitReady(index))) return 2;
+  }
+  await sleep(3_000);
+  if (HAS_TROUBLE) {
+    cell.note(`worker-1 fails all that it starts for ${GREY_MILLISECONDS} ms`);
+    workers[0].stdin.write(`grey ${GREY_MILLISECONDS}\n`);
+  }
+  const accepted = await cell.callUntil(DAEMONS, [200], 5_000, 'POST', ID, {
+    spec: JSON.stringify({ms: WORK_MILLISECONDS, members: MEMBERS}),
     pipeline: [
-      {count: TASKS, cpu: 2_500, memory_request_mb: 7_200, estimated_ms: 640},
+      {
+        count: MEMBERS,
+        gang: true,
+        cpu: 8_000,
+        memory_request_mb: 16_000,
+        estimated_ms: WORK_MILLISECONDS,
+      },
     ],
-    repeat_count: OCCURRENCES,
-    start_at_ms: dueAt,
-    interval_ms: INTERVAL_MILLISECONDS,
   });
   if (!accepted) return 2;
-  await sleep(1_000);
-  for (const index of [1, 2, 3]) {
-    const shown = await cell.callUntil([index], [200], 5_000, 'GET', ID);
-    if (!shown) return 2;
-  }
-  if (HAS_TROUBLE) {
-    cell.note('edge-1 is killed');
-    cell.daemons.get(1).child.kill('SIGKILL');
-    await sleep(DOWN_MILLISECONDS);
-    cell.startDaemon(1, LARGE);
-  }
-  // The submission is asked for until its first time is over.
-  const endsAt = dueAt + 8_000;
-  let broken = '';
-  let isAnswered = false;
-  while (Date.now() < endsAt) {
-    for (const index of [2, 3]) {
-      const {status, text} = await cell.call(index, 'GET', ID);
-      if (status === 200) isAnswered = true;
-      if (status === 410) broken ||= `edge-${index} does not know it`;
-      if (status !== 200) continue;
-      const {state} = JSON.parse(text);
-      if (state === 'failed' || state === 'cancelled') {
-        broken ||= `edge-${index} shows it as ${state}`;
-      }
-    }
+  let state = '';
+  const endsAt = steady() + 40_000;
+  while (!['completed', 'failed'].includes(state) && steady() < endsAt) {
     await sleep(500);
+    const answer = await cell.callUntil(DAEMONS, [200], 5_000, 'GET', ID);
+    if (answer) ({state} = JSON.parse(answer.text));
+  }
+  const failures = [...gangs.values()].filter(({ends}) =>
+    ends.includes('failed'),
+  ).length;
+  cell.note(
+    `the submission is ${state}; ${gangs.size} runs of the gang were started and ${failures} have failed, of ${MAXIMUM_ATTEMPTS} attempts`,
+  );
+  for (const [name, {ends}] of gangs) {
+    const counts = {};
+    for (const how of ends) counts[how] = (counts[how] ?? 0) + 1;
+    cell.note(`${name}: ${JSON.stringify(counts)}`);
   }
-  const starts = cell.events.filter(({event}) => event === 'start').length;
-  cell.note(`${starts} starts of the first time, of ${TASKS}`);
-  if (!isAnswered) return 2;
-  if (!broken && starts < TASKS) broken = `only ${starts} tasks have started`;
-  if (broken) cell.note(`LOST is broken: ${broken}`);
-  return broken ? 1 : 0;
+  const isBroken = state === 'failed' && failures < MAXIMUM_ATTEMPTS;
+  if (isBroken)
+    cell.note('LOST is broken: it is shown as failed without cause');
+  if (isBroken) return 1;
+  return state === 'completed' ? 0 : 2;
 }
 
 const startedAt = steady();
--- a/review/lib-2/cell.mjs
+++ b/review/lib-2/cell.mjs
@@ -107,7 +107,7 @@
     });
   }
 
-  async startWorker(index, overrides = {}) {
+  async startWorker(index, overrides = {}, onEvent = () => undefined) {
     const options = {
       ip: `${this.network}.${100 + index}`,
       id: `worker-${index}`,
@@ -129,6 +129,7 @@
         const event = JSON.parse(line);
         this.events.push(event);
         this.note(`${event.worker} ${JSON.stringify(event)}`);
+        onEvent(event);
         resolve();
       }),
     );
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -6,14 +6,21 @@
 // prints is an event as JSON, with the time of the machine's steady clock.
 //
 // The spec of a submission is JSON: `ms` is how long its tasks run. Without it,
-// they run until they are stopped.
+// they run until they are stopped. With `members`, the tasks of a step are a
+// gang: they work from the moment when a line `complete GANG` is read, with GANG
+// as ID.K.STEP/ATTEMPT, and end as `broken` at a line `break GANG`. After a line
+// `grey MILLISECONDS` the worker fails all that it starts for that long.
 import {createServer as createHttpServer} from 'node:http';
 import {connect, createServer} from 'node:net';
 import process from 'node:process';
+import {createInterface} from 'node:readline';
 
 const HEARTBEAT_MILLISECONDS = 1_500;
 const MAXIMUM_ENDS = 500;
 const SETTLE_MILLISECONDS = 5;
+const GANG_TIMEOUT_MILLISECONDS = 3_000;
+/** Time after which a worker that fails all has failed a run. */
+const FAILURE_MILLISECONDS = 2;
 
 const options = JSON.parse(process.argv[2]);
 const born = Date.now();
@@ -27,6 +34,7 @@
 let leaseEnd = 0;
 let sequence = 0;
 let address = '';
+let greyUntil = 0;
 
 function steady() {
   return Number(process.hrtime.bigint()) / 1e6;
@@ -66,6 +74,8 @@
   for (const [task, run] of [...runs]) {
     if (run.killAt !== undefined) {
       if (run.killAt <= now) end(task, run, run.how);
+    } else if (run.aloneAt <= now) {
+      end(task, run, 'alone');
     } else if (run.endsAt <= now) {
       end(task, run, 'done');
     } else if (isLapsed) {
@@ -83,14 +93,22 @@
     return [409, {reason: 'old'}];
   }
   if (clock() >= leaseEnd) return [409, {reason: 'late'}];
-  const {ms} = JSON.parse(spec);
+  const {ms, members} = JSON.parse(spec);
   const now = steady();
-  runs.set(task, {
+  const run = {
     attempt,
     startedAt: now,
-    endsAt: ms === undefined ? Infinity : now + ms,
+    endsAt: ms === undefined || members ? Infinity : now + ms,
     ms,
-  });
+    gang: members ? `${task.slice(0, task.lastIndexOf('.'))}/${attempt}` : '',
+  };
+  runs.set(task, run);
+  if (now < greyUntil) {
+    run.killAt = now + FAILURE_MILLISECONDS;
+    run.how = 'failed';
+  } else if (run.gang) {
+    run.aloneAt = now + GANG_TIMEOUT_MILLISECONDS;
+  }
   report({event: 'start', task, attempt});
   return [200, {}];
 }
@@ -203,5 +221,19 @@
     setInterval(settle, SETTLE_MILLISECONDS);
   }),
 );
-process.stdin.on('end', () => process.exit());
-process.stdin.resume();
+const commands = createInterface({input: process.stdin});
+commands.on('line', line => {
+  const [command, argument] = line.split(' ');
+  if (command === 'grey') greyUntil = steady() + Number(argument);
+  for (const [task, run] of [...runs]) {
+    if (run.gang === '' || run.gang !== argument) continue;
+    if (command === 'break' && run.killAt === undefined) {
+      end(task, run, 'broken');
+    } else if (command === 'complete') {
+      run.aloneAt = undefined;
+      run.startedAt = steady();
+      run.endsAt = run.startedAt + run.ms;
+    }
+  }
+});
+commands.on('close', () => process.exit());
