Count a failed run of a gang once

Cause: RunTracker raised the gang's failures for each member that ended as failed. Four members on one worker that fails all it starts used up four attempts at once.

Why this works: the progress record holds the attempt number of the newest failed run, and members of a run share that number, so a run counts once under whichever owner its ends are learned. Records of an earlier version, which counts members, give a lower bound; the failures of each member still keep it from a start beyond its attempts.

--- a/packages/cell-scheduler/src/record_codec.ts
+++ b/packages/cell-scheduler/src/record_codec.ts
@@ -126,6 +126,9 @@
     const progress: StepProgress = {
       gangAttempt: step.gangAttempt,
       gangFailures: step.gangFailures,
+      lastFailedGangAttempt: step.specification.isGang
+        ? step.lastFailedGangAttempt
+        : undefined,
       tasks: tasks.map(task => encodeTask(task, includesCheckpoints)),
       addresses: addressesOf(tasks),
     };
@@ -155,7 +158,7 @@
   static applyProgress(step: StepState, value: string, firstTask = 0): void {
     const progress = StepProgress.parse(JSON.parse(value));
     step.gangAttempt = Math.max(step.gangAttempt, progress.gangAttempt);
-    step.gangFailures = Math.max(step.gangFailures, progress.gangFailures);
+    if (step.specification.isGang) applyGangFailures(step, progress);
     progress.tasks.forEach((row, index) => {
       const task = step.tasks[firstTask + index];
       if (!task) return;
@@ -179,6 +182,25 @@
   }
 }
 
+/**
+ * An earlier version counted every member that failed. A member fails at most
+ * once in a run, so the failures of one member are a lower bound of the gang's
+ * failed runs. The newest run may be among them and must not count again.
+ */
+function applyGangFailures(step: StepState, progress: StepProgress): void {
+  const {gangAttempt, gangFailures, lastFailedGangAttempt, tasks} = progress;
+  const memberFailures = tasks.map(([, , failures]) => failures);
+  const failures =
+    lastFailedGangAttempt === undefined
+      ? Math.max(0, ...memberFailures)
+      : gangFailures;
+  step.gangFailures = Math.max(step.gangFailures, failures);
+  step.lastFailedGangAttempt = Math.max(
+    step.lastFailedGangAttempt,
+    lastFailedGangAttempt ?? gangAttempt,
+  );
+}
+
 function isCompact(value: unknown): boolean {
   return typeof value === 'object' && value !== null && 'compact' in value;
 }
--- a/packages/cell-scheduler/src/step_progress.ts
+++ b/packages/cell-scheduler/src/step_progress.ts
@@ -20,6 +20,12 @@
 export const StepProgress = z.object({
   gangAttempt: z.number().int(),
   gangFailures: z.number().int(),
+  /**
+   * Attempt number of the newest run that `gangFailures` includes. Missing for
+   * other steps than gangs and in records of earlier versions, whose
+   * `gangFailures` includes every member that failed.
+   */
+  lastFailedGangAttempt: z.number().int().optional(),
   tasks: z.array(TaskProgress),
   /**
    * Address of each worker with placed runs, by worker ID, in the newest of its
--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -20,8 +20,10 @@
   preemptionRetryAt = 0;
   /** Monotonic deadline before which the step is skipped after an error. */
   setAsideUntil = 0;
-  /** Failed runs of a gang as a whole. */
+  /** Failed runs of a gang as a whole, whichever of its members failed. */
   gangFailures = 0;
+  /** Attempt number of the newest run that `gangFailures` includes. */
+  lastFailedGangAttempt = 0;
 
   private constructor(
     readonly submission: SubmissionRecord,
@@ -74,6 +76,18 @@
     if (this.doneCount > 0) this.doneCount = this.tasks.length;
   }
 
+  /**
+   * Counts the failure of a gang's member. Several members of a run may fail,
+   * also under different owners, and the run counts once. Returns whether the
+   * run had not been counted before.
+   */
+  countGangFailure(attempt: number): boolean {
+    if (attempt <= this.lastFailedGangAttempt) return false;
+    this.lastFailedGangAttempt = attempt;
+    this.gangFailures++;
+    return true;
+  }
+
   /** Number of tasks placed on the given worker. */
   countOn(worker: WorkerState): number {
     let count = 0;
--- a/packages/shard-owner/src/run_tracker.ts
+++ b/packages/shard-owner/src/run_tracker.ts
@@ -93,7 +93,7 @@
       this.requeue(task, RETRY_DELAY_MILLISECONDS);
     }
     this.markTask(step, task);
-    this.checkSubmission(step, task);
+    this.checkSubmission(run);
   }
 
   /**
@@ -218,7 +218,7 @@
     if (end.kind !== 'failed') return;
     task.lastFailedWorkerId = workerId;
     if (!step.specification.isService) task.failures++;
-    if (step.specification.isGang) step.gangFailures++;
+    if (step.specification.isGang) this.countGangFailure(run);
     const failures = (this.consecutiveFailures.get(workerId) ?? 0) + 1;
     this.consecutiveFailures.set(workerId, failures);
     const worker = this.options.state.workers.get(workerId);
@@ -230,14 +230,31 @@
     );
   }
 
-  private checkSubmission(step: StepState, task: TaskState): void {
+  private countGangFailure({step, attempt, workerId}: Run): void {
+    if (!step.countGangFailure(attempt)) return;
+    this.options.logger.info('run of a gang failed', {
+      step: step.name,
+      attempt,
+      worker: workerId,
+      failures: step.gangFailures,
+    });
+  }
+
+  private checkSubmission({step, task, attempt, workerId}: Run): void {
     const {submission} = step;
     if (submission.ending) return;
+    // The failures of one member can be more than those counted for its gang
+    // after a takeover from an earlier version.
     const failures = Math.max(step.gangFailures, task.failures);
-    if (
-      !step.specification.isService &&
-      failures >= submission.queue.maximumAttempts
-    ) {
+    const {maximumAttempts} = submission.queue;
+    if (!step.specification.isService && failures >= maximumAttempts) {
+      this.options.logger.info('attempts of a task used up', {
+        task: task.name,
+        attempt,
+        worker: workerId,
+        failures,
+        maximumAttempts,
+      });
       this.endSubmission(submission, 'failed');
       return;
     }
