Place a gang away from the workers that failed its members

A gang with one member on a worker that fails all it starts was placed there again after each failed run, until the worker was put aside after three. A queue with three attempts would show the gang as failed.

Cause: placeGang sorts workers by free capacity only. The cost of the worker of the last failure (WorkerChoice.choose) is used for other steps alone.

Evidence: the new test of scheduler.test.ts places both members on w1 before the change.

Why this works: workers on which a member failed last come after all others, so they are used only where the others have no room.

--- a/packages/cell-scheduler/src/scheduler.test.ts
+++ b/packages/cell-scheduler/src/scheduler.test.ts
@@ -65,6 +65,20 @@
     expect(cell.pass(1).placements).toHaveLength(3);
   });
 
+  // Guards against a gang that uses up its attempts on one worker that fails a
+  // member of each run, while others have room.
+  it('places a gang on workers where none of its members failed last', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w1', {milliCores: 2_000});
+    cell.addWorker('w2', {milliCores: 1_000});
+    cell.addWorker('w3', {milliCores: 1_000});
+    const submission = createSubmission('a', {taskCount: 2, isGang: true});
+    cell.state.add(submission);
+    submission.stepsOf(0)[0]!.tasks[0]!.lastFailedWorkerId = 'w1';
+    const workers = cell.pass(0).placements.map(({worker}) => worker.id);
+    expect(workers).toEqual(['w2', 'w3']);
+  });
+
   it('respects the maximum number of tasks of a step per worker', () => {
     const cell = CellFixture.create();
     cell.addWorker('w1');
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -252,9 +252,17 @@
     if (waiting.length !== step.tasks.length) return [];
     const members: Placement[] = [];
     const remaining = [...waiting];
+    // A worker on which one member failed may fail any other member as well.
+    const failedOn = new Set(
+      waiting.map(({lastFailedWorkerId}) => lastFailedWorkerId),
+    );
     const candidates = workers
       .filter(worker => this.choice.isAllowed(step, waiting[0]!, worker, now))
-      .sort((a, b) => b.freeMilliCores - a.freeMilliCores);
+      .sort(
+        (a, b) =>
+          Number(failedOn.has(a.id)) - Number(failedOn.has(b.id)) ||
+          b.freeMilliCores - a.freeMilliCores,
+      );
     for (const worker of candidates) {
       const memberCount = Math.min(
         this.choice.fitCount(step, worker),
