Play gangs in the random runs

The stand-in workers now know the ends broken and alone, and can fail all that they start. Two checks are new, in all modes: a submission is shown as failed only after a task or gang has failed as often as its queue allows (LOST), and no task starts after that many acknowledged failures (BUDGET).

--- a/packages/cell-stand-ins/src/answer_ledger.ts
+++ b/packages/cell-stand-ins/src/answer_ledger.ts
@@ -11,6 +11,13 @@
   finalState: SubmissionState | undefined;
 }
 
+/** What is known about the failed runs of a submission. */
+interface SubmissionFailures {
+  /** Failed runs of its task or gang that has most of them. */
+  failedRuns: (id: string) => number;
+  maximumAttempts: (id: string) => number;
+}
+
 /** Records what callers were told, and every answer that contradicts another. */
 export class AnswerLedger {
   /** Submissions whose acceptance a caller was told. */
@@ -21,10 +28,13 @@
   /** The first final state that a caller was shown, by submission. */
   private readonly finalStates = new Map<string, SubmissionState>();
 
-  private constructor(private readonly runs: RunLedger) {}
+  private constructor(
+    private readonly runs: RunLedger,
+    private readonly failures: SubmissionFailures,
+  ) {}
 
-  static create(runs: RunLedger): AnswerLedger {
-    return new AnswerLedger(runs);
+  static create(runs: RunLedger, failures: SubmissionFailures): AnswerLedger {
+    return new AnswerLedger(runs, failures);
   }
 
   /** Records that a caller is about to cancel a submission. */
@@ -102,9 +112,17 @@
     if (state === 'cancelled' && !this.cancelRequested.has(id)) {
       this.report(id, 'cancelled although nobody cancelled it');
     }
+    if (state === 'failed') this.checkFailed(id);
     if (!earlier) this.finalStates.set(id, state);
   }
 
+  private checkFailed(id: string): void {
+    const failedRuns = this.failures.failedRuns(id);
+    const maximumAttempts = this.failures.maximumAttempts(id);
+    if (failedRuns >= maximumAttempts) return;
+    this.report(id, `failed after ${failedRuns} of ${maximumAttempts} runs`);
+  }
+
   private report(id: string, shownAs: string): void {
     this.runs.violations.push(`${id} was shown as ${shownAs}`);
   }
--- a/packages/cell-stand-ins/src/main.ts
+++ b/packages/cell-stand-ins/src/main.ts
@@ -27,6 +27,12 @@
     default: false,
     describe: 'submissions have very different numbers of tasks',
   })
+  .option('gangs', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'submissions begin with a gang and workers fail all that they start for some time',
+  })
   .option('cancels', {
     type: 'boolean',
     default: false,
@@ -61,6 +67,7 @@
   const {violations, completed} = await OwnershipSimulation.run(seed, {
     drainsWorkers: options.drains,
     submitsLargeWork: options.large,
+    submitsGangs: options.gangs,
     cancelsAtEveryHost: options.cancels,
   });
   count += completed;
--- a/packages/cell-stand-ins/src/memory_cell_worker.ts
+++ b/packages/cell-stand-ins/src/memory_cell_worker.ts
@@ -11,6 +11,7 @@
   type RandomSource,
   SeededRandomSource,
 } from '@cardamomfield/clock';
+import type {MemoryGangs} from './memory_gangs.js';
 import type {RunLedger} from './run_ledger.js';
 
 interface RunEnding {
@@ -22,7 +23,7 @@
   attempt: number;
   startedAt: number;
   endsAt: number;
-  kind: 'done' | 'failed';
+  kind: 'done' | 'failed' | 'alone';
   /** How long it takes to kill the run. */
   killMilliseconds: number;
   /** The end of a run that is being killed. */
@@ -44,6 +45,8 @@
   killMilliseconds?: number;
   /** Longest time by which the worker notices the end of its lease late. */
   timerLatenessMilliseconds?: number;
+  /** The gangs of the cell; without them no task is a member of one. */
+  gangs?: MemoryGangs;
 }
 
 /** Lowest rate of a worker's clock relative to virtual time. */
@@ -60,6 +63,12 @@
 
 const LONGEST_LEASE_MILLISECONDS = 10_000;
 
+/** How long a member of a gang waits for the others. */
+const GANG_WAIT_MILLISECONDS = 3_000;
+
+/** Time until a run has failed on a worker that fails all that it starts. */
+const QUICK_FAILURE_MILLISECONDS = 2;
+
 /** Share of the kills that take the longest time. */
 const SLOW_KILL_SHARE = 0.5;
 
@@ -76,6 +85,8 @@
   isDraining = false;
   /** True once another worker answers at this worker's address. */
   isReplaced = false;
+  /** True while the worker fails all runs that it starts. */
+  failsStarts = false;
   /** True while the directory still has the entry of a worker that crashed. */
   isEntryRetained = false;
   private bornAt: number;
@@ -222,7 +233,7 @@
       return refused('late', clock);
     }
     const now = this.options.virtualClock.monotonicNow();
-    this.runs.set(order.taskName, {
+    const run: WorkerRun = {
       attempt: order.attempt,
       startedAt: now,
       endsAt: now + this.options.random.integerBelow(this.longestRun()),
@@ -230,12 +241,45 @@
       killMilliseconds: this.drawKillMilliseconds(),
       killed: undefined,
       hasLapsed: false,
-    });
+    };
+    if (this.failsStarts) {
+      run.endsAt = now + QUICK_FAILURE_MILLISECONDS;
+      run.kind = 'failed';
+    }
+    this.runs.set(order.taskName, run);
     this.options.ledger.recordStart(order.taskName, this.id, sentAt);
+    this.options.ledger.failures.recordStart(order.taskName, now);
     this.checkCapacity();
+    this.joinGang(order.taskName, run);
     return {kind: 'started', clock};
   }
 
+  /** Lets a run work only together with the other members of its gang. */
+  private joinGang(taskName: string, run: WorkerRun): void {
+    const {gangs, virtualClock} = this.options;
+    if (!gangs?.isMember(taskName)) return;
+    const now = virtualClock.monotonicNow();
+    const aloneAt = now + GANG_WAIT_MILLISECONDS;
+    if (run.kind === 'done' || run.endsAt > aloneAt) {
+      run.endsAt = aloneAt;
+      run.kind = 'alone';
+    }
+    gangs.join(taskName, run.attempt, {
+      complete: at => {
+        if (run.kind === 'failed' && run.endsAt < at) return;
+        run.endsAt = at;
+        run.kind = 'done';
+      },
+      break: () => {
+        const breaksAt = virtualClock.monotonicNow();
+        // It has failed by itself, and its end has not been recorded yet.
+        if (run.kind === 'failed' && run.endsAt <= breaksAt) return;
+        const killedAt = breaksAt + run.killMilliseconds;
+        run.killed ??= {at: killedAt, kind: 'broken'};
+      },
+    });
+  }
+
   stop(taskName: string, attempt: number, fencingToken: number): boolean {
     this.settle();
     if (fencingToken < this.highestFencingToken) return false;
@@ -263,14 +307,25 @@
     for (const end of this.ends) {
       const isAcknowledged = end.number <= order.acknowledgedEnd;
       const isBinding = !this.voidedEnds.has(end.number);
-      if (isAcknowledged && isBinding && end.kind === 'done') {
-        this.options.ledger.recordDone(end.taskName);
-      }
+      if (isAcknowledged && isBinding) this.recordAcknowledgement(end);
     }
     this.ends = this.ends.filter(end => end.number > order.acknowledgedEnd);
     return this.report();
   }
 
+  /** One member that is done represents its gang. */
+  private recordAcknowledgement(end: RunEnd): void {
+    const {ledger, gangs} = this.options;
+    const {taskName, attempt, kind} = end;
+    if (kind === 'failed') {
+      ledger.failures.recordAcknowledgement(taskName, attempt);
+    } else if (kind === 'done') {
+      for (const member of gangs?.memberNames(taskName) ?? [taskName]) {
+        ledger.recordDone(member);
+      }
+    }
+  }
+
   /** Whether a poll can be answered immediately because runs have ended. */
   get hasEndedRuns(): boolean {
     this.settle();
@@ -326,8 +381,9 @@
   }
 
   private loseState(): void {
-    for (const name of this.runs.keys()) {
+    for (const [name, {attempt}] of this.runs) {
       this.options.ledger.recordEnd(name, this.id);
+      this.options.gangs?.break(name, attempt);
     }
     this.incarnation++;
     this.pausedSince = undefined;
@@ -368,6 +424,11 @@
     this.options.ledger.recordEnd(name, this.id);
     const ended = this.endedAttempts.get(name) ?? 0;
     this.endedAttempts.set(name, Math.max(ended, run.attempt));
+    if (kind === 'failed') {
+      const now = this.options.virtualClock.monotonicNow();
+      this.options.ledger.failures.recordFailure(name, run.attempt, now);
+    }
+    if (kind !== 'done') this.options.gangs?.break(name, run.attempt);
     this.endCount++;
     if (run.hasLapsed) this.voidedEnds.add(this.endCount);
     this.ends.push({
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -6,7 +6,9 @@
 import type {ShardOwner} from '@cardamomfield/shard-owner';
 import {AnswerLedger} from './answer_ledger.js';
 import type {HostOverrides} from './host_overrides.js';
+import {createGangSubmission} from './gang_submission.js';
 import {MemoryCellWorker} from './memory_cell_worker.js';
+import {MemoryGangs} from './memory_gangs.js';
 import {MemoryShardStore} from './memory_shard_store.js';
 import {createSubmission} from './plain_submission.js';
 import {RunLedger} from './run_ledger.js';
@@ -24,6 +26,16 @@
 /** Numbers of tasks a step of large work; owners refuse the last. */
 const LARGE_TASK_COUNTS = [1, 3, 200, 600, 1_500, 3_000_000];
 
+/** Room for several members of a gang on each worker. */
+const GANG_WORKER_MILLICORES = 9_000;
+
+/** Numbers of members of the gangs; the largest one needs two workers. */
+const GANG_MEMBER_COUNTS = [2, 5, 10];
+
+/** Share of the steps in which a worker begins to fail all that it starts. */
+const FAILING_WORKER_SHARE = 0.15;
+const LONGEST_FAILING_MILLISECONDS = 6_500;
+
 const ACTION_COUNT = 120;
 const LONGEST_INTERVAL_MILLISECONDS = 500;
 
@@ -56,6 +68,9 @@
 /** Keeps the seeds of the callers apart from those of the other draws. */
 const CALLER_SEED_OFFSET = 500_000_000;
 
+/** Keeps the seeds of gangs and failing workers apart from the others. */
+const GANG_SEED_OFFSET = 700_000_000;
+
 /** Longest time after which a delayed order is carried out, and its stop. */
 const LATE_ORDER_MILLISECONDS = 7_000;
 
@@ -75,6 +90,11 @@
   drainsWorkers?: boolean;
   /** Whether submissions have very different numbers of tasks. */
   submitsLargeWork?: boolean;
+  /**
+   * Whether submissions begin with a gang and have few attempts, and workers
+   * fail all that they start for some time.
+   */
+  submitsGangs?: boolean;
   /**
    * Whether callers also submit, cancel and ask at every host that takes itself
    * for the owner, about unanswered and future submissions too.
@@ -105,10 +125,17 @@
   private readonly store = MemoryShardStore.create();
   private readonly workers = new Map<string, MemoryCellWorker>();
   private readonly hosts: SimulatedOwnerHost[] = [];
-  private readonly answers = AnswerLedger.create(this.ledger);
+  private readonly gangs: MemoryGangs;
+  private readonly answers = AnswerLedger.create(this.ledger, {
+    failedRuns: id =>
+      this.ledger.failures.failedRuns(id, name => this.gangs.memberNames(name)),
+    maximumAttempts: id => this.maximumAttempts(id),
+  });
   private readonly random: RandomSource;
   /** A source of its own, so that other draws don't depend on the callers. */
   private readonly callerRandom: RandomSource;
+  /** The same for gangs and failing workers. */
+  private readonly gangRandom: RandomSource;
   private readonly submissions = new Map<string, Submission>();
   private readonly cancelled = new Set<string>();
   private submitted = 0;
@@ -120,6 +147,12 @@
   ) {
     this.random = SeededRandomSource.create(seed);
     this.callerRandom = SeededRandomSource.create(seed + CALLER_SEED_OFFSET);
+    this.gangRandom = SeededRandomSource.create(seed + GANG_SEED_OFFSET);
+    this.gangs = MemoryGangs.create({
+      virtualClock: this.virtualClock,
+      random: this.gangRandom,
+      memberCount: taskName => this.gangMemberCount(taskName),
+    });
     const overrides: HostOverrides = options.drainsWorkers
       ? {...SLOW_KILLS, ...options}
       : options;
@@ -129,9 +162,7 @@
         id,
         MemoryCellWorker.create({
           id,
-          milliCores: options.submitsLargeWork
-            ? LARGE_WORKER_MILLICORES
-            : WORKER_MILLICORES,
+          milliCores: workerMilliCores(options),
           virtualClock: this.virtualClock,
           random: this.random,
           ledger: this.ledger,
@@ -139,6 +170,7 @@
           longestLeaseMilliseconds: overrides.longestLeaseMilliseconds,
           killMilliseconds: overrides.stopMilliseconds,
           timerLatenessMilliseconds: overrides.timerLatenessMilliseconds,
+          gangs: this.gangs,
         }),
       );
     }
@@ -168,6 +200,7 @@
     for (let step = 0; step < ACTION_COUNT; step++) {
       this.performRandomAction();
       if (this.options.cancelsAtEveryHost) this.callOwners();
+      if (this.options.submitsGangs) this.failWorker();
       await this.advance(
         this.random.integerBelow(LONGEST_INTERVAL_MILLISECONDS),
       );
@@ -175,6 +208,7 @@
     const completed = await this.finish();
     for (const host of this.hosts) host.kill();
     await this.advance(1_000);
+    this.checkAttempts();
     return {
       violations: this.ledger.violations,
       submitted: this.submitted,
@@ -305,21 +339,61 @@
     void host.claim(this.highestTerm);
   }
 
+  /** Lets a worker fail all that it starts for some time. */
+  private failWorker(): void {
+    if (this.gangRandom.fraction() >= FAILING_WORKER_SHARE) return;
+    const workers = [...this.workers.values()];
+    const worker = workers[this.gangRandom.integerBelow(workers.length)];
+    if (!worker) return;
+    worker.failsStarts = true;
+    const endsAt =
+      this.virtualClock.monotonicNow() +
+      this.gangRandom.integerBelow(LONGEST_FAILING_MILLISECONDS);
+    void this.virtualClock.sleepUntil(endsAt).then(() => {
+      worker.failsStarts = false;
+    });
+  }
+
+  private gangMemberCount(taskName: string): number {
+    const [id = '', , step] = taskName.split('.');
+    const steps = this.submissions.get(id)?.specification.steps ?? [];
+    const {isGang, taskCount} = steps[Number(step)] ?? {};
+    return isGang && taskCount ? taskCount : 0;
+  }
+
+  private maximumAttempts(id: string): number {
+    return this.submissions.get(id)?.queue.maximumAttempts ?? Infinity;
+  }
+
+  private checkAttempts(): void {
+    const overrun = this.ledger.failures.overrunTasks(name => {
+      const [id = ''] = name.split('.');
+      return this.maximumAttempts(id);
+    });
+    for (const name of overrun) {
+      this.ledger.violations.push(`${name} started beyond its attempts`);
+    }
+  }
+
   private submit(): void {
     const host = this.hosts.find(({owner}) => owner);
     if (!host?.owner) return;
     const id = idOf(this.submitted++);
-    this.submissions.set(
-      id,
-      createSubmission(
-        this.options.submitsLargeWork
-          ? this.pick(LARGE_TASK_COUNTS)
-          : 1 + this.random.integerBelow(3),
-      ),
-    );
+    this.submissions.set(id, this.createSubmission());
     this.submitTo(host.owner, id);
   }
 
+  private createSubmission(): Submission {
+    if (this.options.submitsGangs) {
+      return createGangSubmission(this.pick(GANG_MEMBER_COUNTS));
+    }
+    return createSubmission(
+      this.options.submitsLargeWork
+        ? this.pick(LARGE_TASK_COUNTS)
+        : 1 + this.random.integerBelow(3),
+    );
+  }
+
   private submitTo(owner: ShardOwner, id: string): void {
     const submission = this.submissions.get(id);
     if (!submission) return;
@@ -445,7 +519,7 @@
         continue;
       }
       completed = [...this.answers.accepted].filter(id =>
-        hasEnded(owner.describe(id)),
+        this.hasEnded(owner.describe(id)),
       ).length;
       if (completed === this.answers.accepted.size) break;
     }
@@ -471,6 +545,11 @@
     return completed;
   }
 
+  private hasEnded(state: unknown): boolean {
+    if (state === 'failed') return this.options.submitsGangs === true;
+    return state === 'completed' || state === 'cancelled';
+  }
+
   /** Checks what the present owner shows of every submission. */
   private async showAll(): Promise<void> {
     for (const host of this.hosts) {
@@ -500,8 +579,9 @@
   }
 }
 
-function hasEnded(state: unknown): boolean {
-  return state === 'completed' || state === 'cancelled';
+function workerMilliCores(options: OwnershipSimulationOptions): number {
+  if (options.submitsLargeWork) return LARGE_WORKER_MILLICORES;
+  return options.submitsGangs ? GANG_WORKER_MILLICORES : WORKER_MILLICORES;
 }
 
 function idOf(index: number): string {
--- a/packages/cell-stand-ins/src/run_ledger.ts
+++ b/packages/cell-stand-ins/src/run_ledger.ts
@@ -1,3 +1,5 @@
+import {FailureLedger} from './failure_ledger.js';
+
 /**
  * Tasks may start for this time after the cancellation of their submission was
  * acknowledged (`cancel_ms` of the platform).
@@ -7,6 +9,7 @@
 /** Records the runs of all workers and every violated guarantee. */
 export class RunLedger {
   readonly violations: string[] = [];
+  readonly failures = FailureLedger.create();
   /** Workers on which each task currently runs. */
   private readonly running = new Map<string, Set<string>>();
   /** Tasks whose successful end was acknowledged by an owner. */
