Play gangs in the soak

The members of a run work from the moment at which all are present, and end together. A submission that any host shows as failed must have a task or gang with four failed runs by then.

--- a/packages/cell-stand-ins/src/failure_ledger.ts
+++ b/packages/cell-stand-ins/src/failure_ledger.ts
@@ -45,17 +45,17 @@
    */
   failedRuns(
     submissionId: string,
-    membersOf: (taskName: string) => string[],
+    groupOf: (taskName: string) => string,
   ): number {
-    let most = 0;
-    for (const taskName of this.failures.keys()) {
+    const attempts = new Map<string, Set<number>>();
+    for (const [taskName, failures] of this.failures) {
       if (!taskName.startsWith(`${submissionId}.`)) continue;
-      const attempts = membersOf(taskName)
-        .flatMap(member => this.failures.get(member) ?? [])
-        .map(({attempt}) => attempt);
-      most = Math.max(most, new Set(attempts).size);
+      const group = groupOf(taskName);
+      const numbers = attempts.get(group) ?? new Set();
+      attempts.set(group, numbers);
+      for (const {attempt} of failures) numbers.add(attempt);
     }
-    return most;
+    return Math.max(0, ...[...attempts.values()].map(({size}) => size));
   }
 
   /** Tasks that were started after they had failed as often as they may. */
--- a/packages/cell-stand-ins/src/index.ts
+++ b/packages/cell-stand-ins/src/index.ts
@@ -2,6 +2,7 @@
 export * from './host_overrides.js';
 export * from './memory_cell_link.js';
 export * from './memory_cell_worker.js';
+export * from './memory_gangs.js';
 export * from './memory_shard_log.js';
 export * from './memory_shard_store.js';
 export * from './ownership_simulation.js';
--- a/packages/cell-stand-ins/src/memory_gangs.ts
+++ b/packages/cell-stand-ins/src/memory_gangs.ts
@@ -1,8 +1,8 @@
-import type {ManualClock, RandomSource} from '@cardamomfield/clock';
+import type {RandomSource} from '@cardamomfield/clock';
 
 /** One member of a gang's run, as its worker lets others change it. */
 interface GangMember {
-  /** The run is complete at the given virtual time. */
+  /** All members are present, and the run is complete at the given time. */
   complete: (at: number) => void;
   /** Another member has ended, so this one must end too. */
   break: () => void;
@@ -15,7 +15,8 @@
 }
 
 interface MemoryGangsOptions {
-  virtualClock: ManualClock;
+  /** The time on the clock of the workers' runs, in milliseconds. */
+  now: () => number;
   random: RandomSource;
   /** Number of members of a task's gang; 0 for a task without one. */
   memberCount: (taskName: string) => number;
@@ -41,6 +42,11 @@
     return this.options.memberCount(taskName) > 0;
   }
 
+  /** Name of a task's gang; of the task itself without one. */
+  groupOf(taskName: string): string {
+    return this.isMember(taskName) ? stepOf(taskName) : taskName;
+  }
+
   /** Names of all members of a task's gang; of the task alone without one. */
   memberNames(taskName: string): string[] {
     const count = this.options.memberCount(taskName);
@@ -58,10 +64,8 @@
     if (run.isBroken) {
       member.break();
     } else if (run.members.size === this.options.memberCount(taskName)) {
-      const {virtualClock, random} = this.options;
-      const at =
-        virtualClock.monotonicNow() +
-        random.integerBelow(MAXIMUM_WORK_MILLISECONDS);
+      const {now, random} = this.options;
+      const at = now() + random.integerBelow(MAXIMUM_WORK_MILLISECONDS);
       for (const present of run.members.values()) present.complete(at);
     }
   }
--- a/packages/cell-stand-ins/src/ownership_simulation.ts
+++ b/packages/cell-stand-ins/src/ownership_simulation.ts
@@ -128,7 +128,7 @@
   private readonly gangs: MemoryGangs;
   private readonly answers = AnswerLedger.create(this.ledger, {
     failedRuns: id =>
-      this.ledger.failures.failedRuns(id, name => this.gangs.memberNames(name)),
+      this.ledger.failures.failedRuns(id, name => this.gangs.groupOf(name)),
     maximumAttempts: id => this.maximumAttempts(id),
   });
   private readonly random: RandomSource;
@@ -149,7 +149,7 @@
     this.callerRandom = SeededRandomSource.create(seed + CALLER_SEED_OFFSET);
     this.gangRandom = SeededRandomSource.create(seed + GANG_SEED_OFFSET);
     this.gangs = MemoryGangs.create({
-      virtualClock: this.virtualClock,
+      now: () => this.virtualClock.monotonicNow(),
       random: this.gangRandom,
       memberCount: taskName => this.gangMemberCount(taskName),
     });
