Keep accepted submissions when a host with less memory takes over

Cause: the limit on a submission follows from the memory of the host, and each new owner applied its own to the records that it read.

Evidence: the new test of large_submission.test.ts fails before the change ("failed" in place of "queued").

Why this works: the record states the limit within which the submission was accepted. Only records without it, of earlier versions, are checked when they are read.

--- a/packages/cell-scheduler/src/record_codec.ts
+++ b/packages/cell-scheduler/src/record_codec.ts
@@ -28,6 +28,8 @@
   queue: Queue,
   specification: SubmissionSpecification,
   acceptedAt: z.number(),
+  /** Missing in records of earlier versions. */
+  acceptedWithin: z.number().optional(),
 });
 
 const CompactSubmissionValue = z
@@ -35,6 +37,7 @@
     queue: Queue,
     compact: CompactSpecification,
     acceptedAt: z.number(),
+    acceptedWithin: z.number().optional(),
   })
   .transform(({compact, ...rest}) => ({...rest, specification: compact}));
 
@@ -95,6 +98,7 @@
       submission.queue,
       submission.specification,
       submission.acceptedAtUnixMilliseconds,
+      submission.acceptedWithinBytes,
     );
   }
 
@@ -108,6 +112,7 @@
       queue,
       specification,
       Number.MAX_SAFE_INTEGER,
+      Number.MAX_SAFE_INTEGER,
     );
     return Buffer.byteLength(key) + Buffer.byteLength(value);
   }
@@ -139,10 +144,16 @@
   /** Throws when the value does not match its schema. */
   static decodeSubmission(id: string, value: string): SubmissionRecord {
     const json: unknown = JSON.parse(value);
-    const {queue, specification, acceptedAt} = isCompact(json)
+    const {queue, specification, acceptedAt, acceptedWithin} = isCompact(json)
       ? CompactSubmissionValue.parse(json)
       : SubmissionValue.parse(json);
-    return SubmissionRecord.create(id, queue, specification, acceptedAt);
+    return SubmissionRecord.create(
+      id,
+      queue,
+      specification,
+      acceptedAt,
+      acceptedWithin,
+    );
   }
 
   /** True if the record of a submission has the form of a small one. */
@@ -221,12 +232,14 @@
   queue: Queue,
   specification: SubmissionSpecification,
   acceptedAt: number,
+  acceptedWithin: number | undefined,
 ): string {
+  const rest = {acceptedAt, acceptedWithin};
   if (!isLargeSubmission(specification)) {
-    return JSON.stringify({queue, specification, acceptedAt});
+    return JSON.stringify({queue, specification, ...rest});
   }
   const compact = CompactSpecification.encode(specification);
-  return JSON.stringify({queue, compact, acceptedAt});
+  return JSON.stringify({queue, compact, ...rest});
 }
 
 function addressesOf(tasks: TaskState[]): Record<string, string> {
--- a/packages/cell-scheduler/src/restored_keys.ts
+++ b/packages/cell-scheduler/src/restored_keys.ts
@@ -4,7 +4,7 @@
   unreadable: string[];
   /** Keys of records that are of no use any more. */
   obsolete: string[];
-  /** IDs of submissions that are too large to be held. */
+  /** IDs of submissions that were accepted without a limit and are too large. */
   oversized: string[];
   /** IDs of large submissions that an earlier version recorded as small. */
   outdated: string[];
--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -227,7 +227,11 @@
     restored: RestoredKeys,
   ): void {
     const submission = RecordCodec.decodeSubmission(id, value);
-    if (limits.check(submission.queue, submission.specification).isLeft()) {
+    // A host with more memory may have accepted it within a limit of its own.
+    if (
+      submission.acceptedWithinBytes === undefined &&
+      limits.check(submission.queue, submission.specification).isLeft()
+    ) {
       restored.oversized.push(id);
       return;
     }
--- a/packages/cell-scheduler/src/submission_record.ts
+++ b/packages/cell-scheduler/src/submission_record.ts
@@ -22,6 +22,11 @@
     readonly queue: Queue,
     readonly specification: SubmissionSpecification,
     readonly acceptedAtUnixMilliseconds: number,
+    /**
+     * Memory for submissions of the owner that accepted it, in bytes. Undefined
+     * if an earlier version accepted it.
+     */
+    readonly acceptedWithinBytes: number | undefined,
   ) {
     this.isLarge = isLargeSubmission(specification);
     this.memoryBytes = estimateMemoryBytes(specification);
@@ -32,12 +37,14 @@
     queue: Queue,
     specification: SubmissionSpecification,
     acceptedAtUnixMilliseconds: number,
+    acceptedWithinBytes?: number,
   ): SubmissionRecord {
     return new SubmissionRecord(
       id,
       queue,
       specification,
       acceptedAtUnixMilliseconds,
+      acceptedWithinBytes,
     );
   }
 
--- a/packages/cell-stand-ins/src/large_submission.test.ts
+++ b/packages/cell-stand-ins/src/large_submission.test.ts
@@ -1,8 +1,10 @@
+import {SeededRandomSource} from '@cardamomfield/clock';
 import {InvalidInputError} from '@cardamomfield/errors';
 import {expect, it} from 'vitest';
 import {CellHarness} from './cell_harness.js';
 import type {HostOverrides} from './host_overrides.js';
 import {createSubmission} from './plain_submission.js';
+import {SimulatedOwnerHost} from './simulated_owner_host.js';
 
 const LARGE = '00000000000000aa';
 const PLAIN = '00000000000000bb';
@@ -130,3 +132,34 @@
   expect(store.read().map(({key}) => key)).toEqual(['o', `e/${LARGE}`]);
   second.kill();
 });
+
+// Guards against an accepted submission that is ended as failed when a host with
+// less memory takes over.
+it('keeps a submission that a host with more memory has accepted', async () => {
+  const cell = await createCell();
+  const {virtualClock, host, harness, queue} = cell;
+  const {specification} = createSubmission(1);
+  const accepted = host.owner?.submit(LARGE, queue, {
+    ...specification,
+    occurrenceCount: 14_400,
+    firstOccurrenceAtUnixMilliseconds: virtualClock.wallNow() + 30_000,
+    occurrenceIntervalMilliseconds: 30_000,
+  });
+  await virtualClock.advance(1_000);
+  expect((await accepted)?.isRight()).toBe(true);
+  host.kill();
+  const small = SimulatedOwnerHost.create({
+    name: 'small',
+    store: harness.store,
+    workers: harness.workers,
+    virtualClock,
+    random: SeededRandomSource.create(1),
+    overrides: {limits: {memoryBytes: 1_000_000}},
+  });
+  void small.claim(1);
+  await virtualClock.advance(2_000);
+  expect(small.owner?.describe(LARGE)).toBe('queued');
+  await virtualClock.advance(32_000);
+  expect(small.owner?.describe(LARGE)).toBe('running');
+  small.kill();
+});
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -302,7 +302,13 @@
     if (checked.isLeft()) return checked as Either<TypedError, never>;
     if (this.journal.isLogDown()) return Left(this.logDownError());
     const now = this.options.clock.wallNow();
-    const submission = SubmissionRecord.create(id, queue, specification, now);
+    const submission = SubmissionRecord.create(
+      id,
+      queue,
+      specification,
+      now,
+      this.submissionLimits.memoryBytes,
+    );
     const memoryBytes = this.state.memoryBytes + submission.memoryBytes;
     if (memoryBytes > this.submissionLimits.memoryBytes) {
       return Left(fullError());
