--- a/packages/shard-owner/src/index.ts
+++ b/packages/shard-owner/src/index.ts
@@ -5,6 +5,7 @@
 export * from './fencing_sequence.js';
 export * from './former_owners.js';
 export * from './lease_terms.js';
+export * from './order_slots.js';
 export * from './owner_limits.js';
 export * from './owner_timing.js';
 export * from './run_tracker.js';
--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -1,12 +1,19 @@
-import type {StartOutcome, WorkerLink} from '@cardamomfield/cell-model';
+import type {
+  StartOutcome,
+  WorkerDescription,
+  WorkerLink,
+} from '@cardamomfield/cell-model';
 import type {Run, WorkerState} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
+import type {TypedError} from '@cardamomfield/errors';
 import type {Logger} from '@cardamomfield/logger';
 import type {Metrics} from '@cardamomfield/metrics';
+import type {Either} from 'purify-ts';
 import {confirmStart} from './confirm_start.js';
 import {isFromOtherWorker} from './is_from_other_worker.js';
 import {isRunOfListedWorker} from './is_run_of_listed_worker.js';
 import type {LastPoll} from './last_poll.js';
+import type {OrderSlots} from './order_slots.js';
 import type {OwnerTiming} from './owner_timing.js';
 import type {RunTracker} from './run_tracker.js';
 import type {ShardJournal} from './shard_journal.js';
@@ -42,6 +49,8 @@
   /** False after a process pause until the worker has been polled again. */
   isUpToDate: () => boolean;
   lastPoll: () => LastPoll;
+  /** Limits the stops in flight to the worker. */
+  stopSlots: OrderSlots;
   /** Fencing token of the present incarnation's orders. */
   fence: () => number;
   /** Called when a start has been answered, or has failed without an answer. */
@@ -50,6 +59,12 @@
   onStopped: () => void;
 }
 
+/** An answered or failed stop, and the worker as listed when it was sent. */
+interface SentStop {
+  result: Either<TypedError, void>;
+  description: WorkerDescription;
+}
+
 /** Sends orders to one worker: starts, stops and pacing. */
 export class RunOrders {
   /** The stop of each run that began last. */
@@ -160,14 +175,12 @@
   }
 
   private async sendStops(run: Run, isStopping: () => boolean): Promise<void> {
-    const {clock, runs, worker} = this.options;
+    const {clock, runs, stopSlots} = this.options;
     while (isStopping()) {
-      const {description} = worker;
-      const result = await this.options
-        .link()
-        .stop(run.task.name, run.attempt, this.options.fence());
+      const sent = await stopSlots.run(() => this.sendStop(run, isStopping));
       const answeredAt = clock.monotonicNow();
-      if (!isStopping()) return;
+      if (!sent || !isStopping()) return;
+      const {result, description} = sent;
       if (result.isRight()) {
         this.options.onStopped();
         await clock.sleepUntil(
@@ -187,6 +200,18 @@
     }
   }
 
+  /** Sends one stop, unless the run has ended while it waited to be sent. */
+  private async sendStop(
+    run: Run,
+    isStopping: () => boolean,
+  ): Promise<SentStop | undefined> {
+    if (!isStopping()) return undefined;
+    const {link, fence, worker} = this.options;
+    const {description} = worker;
+    const result = await link().stop(run.task.name, run.attempt, fence());
+    return {result, description};
+  }
+
   /**
    * Waits until the run's end is recorded or a poll sent after the answered
    * stop does not list the run, which means that it does not exist any more.
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -25,6 +25,7 @@
 import type {LeaseRecords} from './lease_records.js';
 import type {RunEvidence} from './run_evidence.js';
 import type {RunTracker} from './run_tracker.js';
+import {OrderSlots} from './order_slots.js';
 import {RunOrders} from './run_orders.js';
 import type {ShardJournal} from './shard_journal.js';
 import {WorkerLeases} from './worker_leases.js';
@@ -57,6 +58,12 @@
  */
 const UNLISTED_MILLISECONDS = 2_500;
 
+/**
+ * Maximum number of stops in flight to one worker. Cancelled runs must have ended
+ * within seconds, however many of them the worker has.
+ */
+const MAXIMUM_ACTIVE_STOPS = 12;
+
 /** How long a worker on which a run stalled gets no new runs. */
 const STALL_AVOID_MILLISECONDS = 2_000;
 
@@ -97,6 +104,9 @@
   private readonly leases: WorkerLeases;
   private readonly orders: RunOrders;
   private readonly wakeUp: Notifier;
+  private readonly stopSlots = OrderSlots.create(MAXIMUM_ACTIVE_STOPS);
+  /** Unknown runs with a stop in flight or waiting, by task and attempt. */
+  private readonly unknownStops = new Set<string>();
   /**
    * Start time of the incarnation that answered last; 0 before the first
    * answer.
@@ -148,6 +158,7 @@
       isStopped: () => this.isStopped,
       isUpToDate: () => this.isUpToDate,
       lastPoll: () => this.lastPoll,
+      stopSlots: this.stopSlots,
       fence: () => this.fence,
       onAnswered: run => this.confirmStart(run),
       onStopped: () => this.wakeUp.notify(),
@@ -555,7 +566,7 @@
       } else {
         unknown.add(`${row.taskName} ${row.attempt}`);
         this.logUnknownRun(row);
-        void this.link.stop(row.taskName, row.attempt, this.fence);
+        void this.stopUnknownRun(row);
       }
     }
     this.unknownRuns = unknown;
@@ -570,6 +581,19 @@
     }
   }
 
+  private async stopUnknownRun({
+    taskName,
+    attempt,
+  }: RunningTask): Promise<void> {
+    const key = `${taskName} ${attempt}`;
+    if (this.unknownStops.has(key)) return;
+    this.unknownStops.add(key);
+    await this.stopSlots.run(async () => {
+      if (!this.isStopped) await this.link.stop(taskName, attempt, this.fence);
+    });
+    this.unknownStops.delete(key);
+  }
+
   /** Records that the answering incarnation holds a run. */
   private noteIncarnation(run: Run): void {
     if (run.task.workerBornAt === this.bornAt) return;
