Forget hosts that have left

Cause: a removed host stayed in every membership and counted as responsive again 3 s after each failed call, so advice was queried at it, and handovers tried it for 1 s.

Why this works: a host that is stopped writes that it leaves, and others remove it, unless another process runs there by now; late news of the process that left are ignored. A host whose predecessor's words are carried out late announces itself again.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -173,7 +173,7 @@
       this.announce(),
       ports.hosts.follow(
         {
-          onHost: host => this.membership.updateHost(host),
+          onHost: host => this.handleHost(host),
           onOwner: owner => this.membership.updateOwner(owner, 'hint'),
         },
         signal,
@@ -207,11 +207,37 @@
   async leave(): Promise<void> {
     this.isLeaving = true;
     this.election.stop();
+    void this.announceLeaving();
     if (!this.owner) return;
     await this.handOver(this.candidates(), 'leaving');
     this.dropOwner();
   }
 
+  /**
+   * Tells the other hosts to call this one no more. Calls to a host that has gone
+   * run into their time limits, again and again.
+   */
+  private async announceLeaving(): Promise<void> {
+    const {ports, logger} = this.options;
+    const result = await ports.hosts.announceHost({
+      ...this.membership.self,
+      isLeaving: true,
+    });
+    result.ifLeft(error =>
+      logger.warn('leaving not announced', {cause: error.message}),
+    );
+  }
+
+  private handleHost(host: HostRecord): void {
+    const {self} = this.membership;
+    this.membership.updateHost(host);
+    // The last words of the process before this one may be carried out late.
+    const isReplaced = host.name === self.name && host.isLeaving === true;
+    if (isReplaced && host.incarnation !== self.incarnation) {
+      void this.announce();
+    }
+  }
+
   /** Responsive hosts, in order of preference as owner of the shard. */
   private responsiveCandidates(): HostRecord[] {
     const peers = this.membership.responsivePeers();
--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -8,6 +8,9 @@
 /** Owner changes kept in the history. */
 const MAXIMUM_OWNER_CHANGES = 8;
 
+/** Processes that have left and are not added again by late news of them. */
+const MAXIMUM_LEFT = 256;
+
 /** Owners kept in the history; their leases end within seconds. */
 const MAXIMUM_OWNERS = 16;
 
@@ -22,6 +25,8 @@
 export class Membership {
   private readonly hosts = new Map<string, HostRecord>();
   private readonly unresponsiveUntil = new Map<string, number>();
+  /** Incarnations of hosts that have left, in the order in which they did. */
+  private readonly left = new Set<string>();
   private newestOwner: OwnerRecord | undefined;
   /** Monotonic time at which the owner last answered; -Infinity if never. */
   lastOwnerContactAt = -Infinity;
@@ -51,8 +56,12 @@
   }
 
   updateHost(host: HostRecord): void {
-    if (host.name === this.self.name) return;
+    if (host.name === this.self.name || this.left.has(host.incarnation)) return;
     const known = this.hosts.get(host.name);
+    if (host.isLeaving) {
+      this.removeHost(host, known);
+      return;
+    }
     this.hosts.set(host.name, host);
     if (known?.incarnation !== host.incarnation) {
       this.unresponsiveUntil.delete(host.name);
@@ -64,6 +73,22 @@
     }
   }
 
+  /** Forgets a host, unless another process runs there by now. */
+  private removeHost(host: HostRecord, known: HostRecord | undefined): void {
+    this.left.add(host.incarnation);
+    const [oldest] = this.left;
+    if (oldest !== undefined && this.left.size > MAXIMUM_LEFT) {
+      this.left.delete(oldest);
+    }
+    if (known?.incarnation !== host.incarnation) return;
+    this.hosts.delete(host.name);
+    this.unresponsiveUntil.delete(host.name);
+    this.logger.info('host left', {
+      peer: host.name,
+      incarnation: host.incarnation,
+    });
+  }
+
   /**
    * Stores the owner if its epoch is higher than the known one; older records
    * are ignored. A hint, from the directory or an introduction, is no evidence
--- a/packages/cell-model/src/host_record.ts
+++ b/packages/cell-model/src/host_record.ts
@@ -11,5 +11,7 @@
   milliCores: z.number(),
   /** Changes with each start of the process. */
   incarnation: z.string(),
+  /** Whether the process is about to exit and takes no more calls. */
+  isLeaving: z.boolean().optional(),
 });
 export type HostRecord = z.infer<typeof HostRecord>;
