Plan no advice queries that cannot be sent

Cause: a query that was planned and then dropped for want of a channel paused its step for 40 ms, so the next free place went to whichever step was evaluated then.

Evidence: the new test of scheduler.test.ts; with the former planner the step of the higher priority gets no query in the pass in which the first one can be sent.

Why this works: the scheduler asks how many queries can be sent and plans no more than that, in the order of the waiting steps.

--- a/packages/cell-scheduler/src/cell_fixture.ts
+++ b/packages/cell-scheduler/src/cell_fixture.ts
@@ -13,10 +13,13 @@
 /** A shard with its scheduler for tests; placed runs count as running. */
 export class CellFixture {
   readonly state = ShardState.create();
+  /** Number of queries to the advice service that can be sent in a pass. */
+  adviceRoom = Infinity;
   private readonly scheduler = Scheduler.create(
     this.state,
     PriorityOrder.create(),
     WorkerChoice.create(),
+    {countFor: () => this.adviceRoom},
   );
 
   private constructor() {}
--- a/packages/cell-scheduler/src/index.ts
+++ b/packages/cell-scheduler/src/index.ts
@@ -1,5 +1,6 @@
 /** State of a shard and the scheduling decisions that depend on it. */
 export * from './advice_query.js';
+export * from './advice_room.js';
 export * from './ended_submission.js';
 export * from './pacing_policy.js';
 export * from './placement.js';
--- a/packages/cell-scheduler/src/scheduler.test.ts
+++ b/packages/cell-scheduler/src/scheduler.test.ts
@@ -121,6 +121,21 @@
     expect(placement).toMatchObject({ticket: 't', worker: {id: 'w2'}});
   });
 
+  // Guards against steps that starve for advice: a query that was planned and
+  // could not be sent made its step wait while the next one got the place.
+  it('plans queries in order once they can be sent', () => {
+    const cell = CellFixture.create();
+    cell.addWorker('w1');
+    cell.state.add(createSubmission('a', {}, {advice: ADVICE, priority: 0}));
+    cell.state.add(createSubmission('b', {}, {advice: ADVICE, priority: 1}));
+    cell.adviceRoom = 0;
+    expect(cell.pass(0).adviceQueries).toEqual([]);
+    cell.adviceRoom = 1;
+    const [query, ...others] = cell.pass(1).adviceQueries;
+    expect(query?.step.submission.id).toBe('a');
+    expect(others).toEqual([]);
+  });
+
   it('does not start a step before the steps it depends on are done', () => {
     const cell = CellFixture.create();
     cell.addWorker('w');
--- a/packages/cell-scheduler/src/scheduler.ts
+++ b/packages/cell-scheduler/src/scheduler.ts
@@ -1,4 +1,5 @@
 import {AdvicePlanner} from './advice_planner.js';
+import type {AdviceRoom} from './advice_room.js';
 import {UnplaceableShapes} from './unplaceable_shapes.js';
 import {isTicketValid} from './is_ticket_valid.js';
 import type {Placement} from './placement.js';
@@ -17,12 +18,16 @@
  */
 const SET_ASIDE_MILLISECONDS = 5_000;
 
+const UNLIMITED_ADVICE: AdviceRoom = {countFor: () => Infinity};
+
 /** Decides which waiting tasks start on which workers. */
 export class Scheduler {
   /** Task sizes that fit on no worker in the current pass. */
   private unplaceable = UnplaceableShapes.create();
   /** Workers by service in the current pass. */
   private workersByService = new Map<string, WorkerState[]>();
+  /** Queries that can be sent in the current pass, by queue. */
+  private readonly adviceRooms = new Map<string, number>();
 
   private constructor(
     private readonly state: ShardState,
@@ -30,16 +35,18 @@
     private readonly choice: WorkerChoice,
     private readonly preemption: PreemptionPolicy,
     private readonly advice: AdvicePlanner,
+    private readonly adviceRoom: AdviceRoom,
   ) {}
 
   static create(
     state: ShardState,
     order: WaitingOrder,
     choice: WorkerChoice,
+    adviceRoom: AdviceRoom = UNLIMITED_ADVICE,
   ): Scheduler {
     const preemption = PreemptionPolicy.create(choice);
     const advice = AdvicePlanner.create(choice);
-    return new Scheduler(state, order, choice, preemption, advice);
+    return new Scheduler(state, order, choice, preemption, advice, adviceRoom);
   }
 
   /**
@@ -55,6 +62,7 @@
   ): SchedulingPass {
     this.unplaceable = UnplaceableShapes.create();
     this.workersByService = groupByService(this.state.workers.values());
+    this.adviceRooms.clear();
     this.advice.beginPass();
     const ready = [...this.state.readySteps(nowUnixMilliseconds)].filter(
       step =>
@@ -129,7 +137,7 @@
     if (step.specification.isGang) placed.forEach(place);
     for (const placement of placed) result.placements.push(placement);
     if (placed.length === wanted) return;
-    if (needsAdvice) {
+    if (needsAdvice && this.hasAdviceRoom(step, result)) {
       const query = this.advice.queryFor(
         step,
         waiting.filter(task => isWaiting(task, now)),
@@ -161,6 +169,7 @@
     for (const step of this.state.upcomingSteps(nowUnixMilliseconds)) {
       if (!step.submission.queue.advice) continue;
       if (step.setAsideUntil > now) continue;
+      if (!this.hasAdviceRoom(step, result)) continue;
       this.isolateFault(step, now, result, () => {
         if (!this.advice.shouldQueryAhead(step, now)) return;
         const query = this.advice.queryFor(
@@ -173,6 +182,7 @@
       });
     }
     for (const [step, tasks] of this.tasksToMove(now)) {
+      if (!this.hasAdviceRoom(step, result)) continue;
       this.isolateFault(step, now, result, () => {
         const workers = this.serviceWorkers(step);
         if (this.advice.hasTicketsFor(step, tasks, workers, now)) return;
@@ -182,6 +192,20 @@
     }
   }
 
+  /**
+   * Whether another query can be sent. Otherwise none is planned, so that the
+   * next one that can be is for the step that comes first by then.
+   */
+  private hasAdviceRoom(
+    step: StepState,
+    {adviceQueries}: SchedulingPass,
+  ): boolean {
+    const {name} = step.submission.queue;
+    const room = this.adviceRooms.get(name) ?? this.adviceRoom.countFor(step);
+    this.adviceRooms.set(name, room);
+    return adviceQueries.length < room;
+  }
+
   /**
    * Tasks on unreachable workers that need another worker soon, by step. Their
    * steps query advice before that, so that the tasks start again at once.
--- a/packages/shard-owner/src/advice_dispatcher.ts
+++ b/packages/shard-owner/src/advice_dispatcher.ts
@@ -1,6 +1,10 @@
 import type {Advice} from '@cardamomfield/cell-model';
-import type {AdviceQuery, StepState} from '@cardamomfield/cell-scheduler';
-import type {WorkerState} from '@cardamomfield/cell-scheduler';
+import type {
+  AdviceQuery,
+  AdviceRoom,
+  StepState,
+  WorkerState,
+} from '@cardamomfield/cell-scheduler';
 import type {Clock} from '@cardamomfield/clock';
 import {
   RefusedError,
@@ -89,7 +93,7 @@
  * Distributes queries to the advice service over the hosts, because the service
  * processes the calls of one host one at a time.
  */
-export class AdviceDispatcher {
+export class AdviceDispatcher implements AdviceRoom {
   private readonly loads = new Map<string, ChannelLoad>();
   /** Monotonic time of the last answer through any channel. */
   private answeredAt = -Infinity;
@@ -100,12 +104,25 @@
     return new AdviceDispatcher(options);
   }
 
+  /**
+   * Number of queries for a step that the channels have capacity for. A query
+   * that names few workers counts as one that names none.
+   */
+  countFor(step: StepState): number {
+    const now = this.options.clock.monotonicNow();
+    const isLong =
+      expectedMilliseconds({step, workerIds: []}) >= LONG_QUERY_MILLISECONDS;
+    const channels = this.loadedChannels();
+    return (isLong ? withoutReserved(channels) : channels).reduce(
+      (sum, {load}) => sum + roomOf(load, isLong, now),
+      0,
+    );
+  }
+
   /** Sends as many of the queries as the channels have capacity for. */
   send(queries: AdviceQuery[]): void {
     if (queries.length === 0) return;
-    const channels = this.options
-      .channels()
-      .map(channel => ({channel, load: this.loadOf(channel.hostName)}));
+    const channels = this.loadedChannels();
     const longQueryChannels = withoutReserved(channels);
     for (const query of queries) {
       const expected = expectedMilliseconds(query);
@@ -118,6 +135,12 @@
     }
   }
 
+  private loadedChannels(): LoadedChannel[] {
+    return this.options
+      .channels()
+      .map(channel => ({channel, load: this.loadOf(channel.hostName)}));
+  }
+
   /** Of channels that are equally good, the one that failed first comes next. */
   private pickChannel(
     channels: LoadedChannel[],
@@ -128,11 +151,7 @@
     let bestCost = Infinity;
     for (const candidate of channels) {
       const {load} = candidate;
-      if (load.notBefore > now) continue;
-      if (load.queries >= (load.failures > 0 ? 1 : QUERIES_PER_CHANNEL)) {
-        continue;
-      }
-      if (isLong && load.longQueries >= LONG_QUERIES_PER_CHANNEL) continue;
+      if (roomOf(load, isLong, now) === 0) continue;
       const cost = load.expectedMilliseconds + riskMilliseconds(load, now);
       const isBetter =
         cost < bestCost ||
@@ -267,6 +286,18 @@
   return channels.filter(({load}) => load.failures > 0 || reserved-- <= 0);
 }
 
+/** Number of further queries that may be sent over a channel now. */
+function roomOf(load: ChannelLoad, isLong: boolean, now: number): number {
+  if (load.notBefore > now) return 0;
+  const limit = load.failures > 0 ? 1 : QUERIES_PER_CHANNEL;
+  const room = Math.max(0, limit - load.queries);
+  if (!isLong) return room;
+  return Math.min(
+    room,
+    Math.max(0, LONG_QUERIES_PER_CHANNEL - load.longQueries),
+  );
+}
+
 /** The delay to be feared from a channel besides its load. */
 function riskMilliseconds(load: ChannelLoad, now: number): number {
   if (load.failures > 0) return FAILED_CHANNEL_MILLISECONDS;
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -220,11 +220,6 @@
       start: run => this.startRun(run),
       onRoom: onChange,
     });
-    this.scheduler = Scheduler.create(
-      this.state,
-      PriorityOrder.create(),
-      WorkerChoice.create(),
-    );
     this.adviceDispatcher = AdviceDispatcher.create({
       channels: options.adviceChannels,
       workers: this.state.workers,
@@ -233,6 +228,12 @@
       metrics,
       onChange,
     });
+    this.scheduler = Scheduler.create(
+      this.state,
+      PriorityOrder.create(),
+      WorkerChoice.create(),
+      this.adviceDispatcher,
+    );
     this.unlistedSessionsAt = clock.monotonicNow() + FIRST_LIST_MILLISECONDS;
     this.restore();
   }
