Send a start only to the incarnation for which it was recorded

Cause: RunOrders.start compared the intent with the directory's entry, which is older than what the session has learned from the worker itself.

Why this works: the start also requires that the incarnation of the intent is the one that answered last.

--- a/packages/shard-owner/src/run_orders.ts
+++ b/packages/shard-owner/src/run_orders.ts
@@ -46,6 +46,8 @@
   /** The link to the incarnation of the worker that the directory lists. */
   link: () => WorkerLink;
   isStopped: () => boolean;
+  /** Start of the incarnation that answered last, in Unix milliseconds. */
+  answeringBornAt: () => number;
   /** False after a process pause until the worker has been polled again. */
   isUpToDate: () => boolean;
   lastPoll: () => LastPoll;
@@ -86,7 +88,7 @@
         journal.hasAuthority() &&
         leases.isClockKnown &&
         this.options.isUpToDate() &&
-        this.isForListedWorker(run);
+        this.isForPresentWorker(run);
       if (!mayOrder && attempt === 0) {
         runs.markLost(
           run,
@@ -129,14 +131,16 @@
   }
 
   /**
-   * True while the listed incarnation is the one that the intent names. The
-   * next owner looks for the run where the intent says.
+   * True while the incarnation that the intent names is the listed one and the
+   * one that answers. Another one may have less capacity or other labels, and
+   * the next owner looks for the run where the intent says.
    */
-  private isForListedWorker({task}: Run): boolean {
+  private isForPresentWorker({task}: Run): boolean {
     const {address, bornAtUnixMilliseconds} = this.options.worker.description;
     return (
       task.workerAddress === address &&
-      task.workerBornAt === bornAtUnixMilliseconds
+      task.workerBornAt === bornAtUnixMilliseconds &&
+      task.workerBornAt === this.options.answeringBornAt()
     );
   }
 
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -156,6 +156,7 @@
       leases: this.leases,
       link: () => this.link,
       isStopped: () => this.isStopped,
+      answeringBornAt: () => this.bornAt,
       isUpToDate: () => this.isUpToDate,
       lastPoll: () => this.lastPoll,
       stopSlots: this.stopSlots,
