End an entry host whose caller port is in use

Cause: the test cluster chooses ports before it uses them, and another process can take one meanwhile. An entry host that could not listen on its caller port kept running, since the components that it had started held the process.

Why this works: the host ends what it has started and passes the error on, so the process exits; the cluster then starts its entry hosts again with other ports, up to three times. What the tests check is unchanged.

--- a/packages/entry-host/src/entry_host.ts
+++ b/packages/entry-host/src/entry_host.ts
@@ -59,12 +59,23 @@
     const peerPort = listening.unsafeCoerce();
     this.mesh.setPeers(settings.peers);
     void this.parts.run(this.controller.signal);
-    const callerPort = await this.server.listen();
+    const callerPort = await this.listen();
     base.timeline.record('process.started', {incarnation: base.incarnation});
     base.logger.info('entry host started', {callerPort, peerPort});
     return {callerPort, peerPort};
   }
 
+  /** Without a port for callers, nothing else may keep the process running. */
+  private async listen(): Promise<number> {
+    try {
+      return await this.server.listen();
+    } catch (thrown) {
+      this.controller.abort();
+      await this.mesh.close();
+      throw thrown;
+    }
+  }
+
   /**
    * Stops gracefully: waits for requests in flight, at most until the drain
    * deadline.
--- a/packages/local-cluster/src/local_cluster.ts
+++ b/packages/local-cluster/src/local_cluster.ts
@@ -5,6 +5,9 @@
 import {ManagedProcess} from './managed_process.js';
 
 /** Interval between two checks of a condition. */
+/** Attempts to start all entry hosts on free ports. */
+const START_ATTEMPTS = 3;
+
 const POLL_MILLISECONDS = 50;
 
 const STAND_IN = import.meta.resolve('@cardamomfield/platform-stand-ins');
@@ -123,7 +126,25 @@
     );
   }
 
+  /**
+   * Another process may take a port between its choice and its use, so the entry
+   * hosts are started again with other ports if one of them ends.
+   */
   private async startEntries(): Promise<void> {
+    for (let attempt = 1; ; attempt++) {
+      try {
+        await this.startEntriesOnce();
+        return;
+      } catch (thrown) {
+        const started = [...this.entries.values()];
+        await Promise.all(started.map(entry => entry.process.kill()));
+        this.entries.clear();
+        if (attempt === START_ATTEMPTS) throw thrown;
+      }
+    }
+  }
+
+  private async startEntriesOnce(): Promise<void> {
     const names = Array.from(
       {length: this.options.entryHosts},
       (_, index) => `entry-${index + 1}`,
