--- a/packages/cell-scheduler/src/shard_state.test.ts
+++ b/packages/cell-scheduler/src/shard_state.test.ts
@@ -29,7 +29,7 @@
 
 function restore(records: ReadonlyMap<string, string>) {
   const state = ShardState.create();
-  const restored = state.restore(records, LIMITS);
+  const restored = state.restore(new Map(records), LIMITS);
   return {restored, step: state.submissions.get(ID)?.stepsOf(0)[0]};
 }
 
@@ -84,3 +84,12 @@
   expect(step?.isDone).toBe(true);
   expect(step?.tasks.every(({phase}) => phase === 'done')).toBe(true);
 });
+
+// Guards against owners that run out of heap one after the other: each held the
+// text of all records beside the state that it had built from them.
+it('removes each record once it is restored', () => {
+  const records = new Map(recordsOf(createSubmission(ID)));
+  records.set('unknown', 'value');
+  ShardState.create().restore(records, LIMITS);
+  expect([...records.keys()]).toEqual(['unknown']);
+});
--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -153,9 +153,12 @@
     return count;
   }
 
-  /** Rebuilds submissions from durable records. */
+  /**
+   * Rebuilds submissions from durable records and removes these from the map, so
+   * that no more than one of them is held beside its state.
+   */
   restore(
-    records: ReadonlyMap<string, string>,
+    records: Map<string, string>,
     limits: SubmissionLimits,
   ): RestoredKeys {
     const restored: RestoredKeys = {
@@ -168,6 +171,7 @@
       for (const [key, value] of records) {
         if (!key.startsWith(prefix)) continue;
         this.restoreRecord(key, value, limits, restored);
+        records.delete(key);
       }
     }
     for (const submission of this.submissions.values()) {
--- a/packages/cell-scheduler/src/submission_limits.test.ts
+++ b/packages/cell-scheduler/src/submission_limits.test.ts
@@ -1,5 +1,6 @@
 import {InvalidInputError} from '@cardamomfield/errors';
 import {expect, it} from 'vitest';
+import {estimateMemoryBytes} from './estimate_memory_bytes.js';
 import {RecordCodec} from './record_codec.js';
 import {createSubmission} from './step_fixture.js';
 import {SubmissionLimits} from './submission_limits.js';
@@ -56,3 +57,27 @@
   expect(sizes).toHaveLength(98);
   expect(Math.max(...sizes)).toBeLessThan(RECORD_BYTES);
 });
+
+/** Heap of an entry of a step's dependencies, and of its text in the record. */
+const DEPENDENCY_BYTES = 8;
+const CHARACTER_BYTES = 2;
+
+// Guards against a budget that the next owner exceeds: it holds the text of the
+// records while it builds the state from them.
+it('counts the dependencies of a long chain of steps and their text', () => {
+  const {specification} = createSubmission('a');
+  const [step] = specification.steps;
+  const steps = Array.from({length: 200}, () => step!);
+  const chain = steps.map((each, index) => ({
+    ...each,
+    dependsOn: Array.from({length: index}, (_, earlier) => earlier),
+  }));
+  const entries = chain.flatMap(({dependsOn}) => dependsOn);
+  const added =
+    estimateMemoryBytes({...specification, steps: chain}) -
+    estimateMemoryBytes({...specification, steps});
+  expect(added).toBeGreaterThanOrEqual(
+    entries.length * DEPENDENCY_BYTES +
+      JSON.stringify(entries).length * CHARACTER_BYTES,
+  );
+});
--- a/packages/shard-owner/src/shard_claim.ts
+++ b/packages/shard-owner/src/shard_claim.ts
@@ -8,5 +8,6 @@
   nextSequence: number;
   /** Monotonic time at which the claim was sent. */
   provedAt: number;
-  records: ReadonlyMap<string, string>;
+  /** The owner removes each record once it has restored it, to free memory. */
+  records: Map<string, string>;
 }
