Log when the leases on a lost run end, not those of its worker

The line `run lost` showed the wait for the worker's other runs, which can be longer than that for a lasting task of an earlier owner.

--- a/packages/cell-scheduler/src/step_state.ts
+++ b/packages/cell-scheduler/src/step_state.ts
@@ -20,7 +20,7 @@
   preemptionRetryAt = 0;
   /** Monotonic deadline before which the step is skipped after an error. */
   setAsideUntil = 0;
-  /** Failed runs of a gang as a whole, whichever of its members failed. */
+  /** Failed runs of a gang as a whole; a run counts once. */
   gangFailures = 0;
   /** Attempt number of the newest run that `gangFailures` includes. */
   lastFailedGangAttempt = 0;
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -212,7 +212,7 @@
       clock,
       logger,
       metrics,
-      evidenceOf: run => this.sessions.get(run.workerId)?.evidence(),
+      evidenceOf: run => this.sessions.get(run.workerId)?.evidence(run),
       onStop: run => this.stopRun(run),
       onChange,
     });
--- a/packages/shard-owner/src/worker_session.ts
+++ b/packages/shard-owner/src/worker_session.ts
@@ -161,7 +161,7 @@
       lastPoll: () => this.lastPoll,
       stopSlots: this.stopSlots,
       fence: () => this.fence,
-      onAnswered: run => this.confirmStart(run),
+      onAnswered: run => this.recordConfirmedStart(run),
       onStopped: () => this.wakeUp.notify(),
     });
   }
@@ -317,10 +317,13 @@
     this.orders.stop(run);
   }
 
-  /** What is known about the worker now, for the log. */
-  evidence(): RunEvidence {
+  /**
+   * What is known about the worker now, for the log; its leases are those on the
+   * given run.
+   */
+  evidence(run?: Run): RunEvidence {
     const now = this.options.clock.monotonicNow();
-    const {expireAt} = this.leases;
+    const expireAt = run ? this.endOfLeases(run) : this.leases.expireAt;
     return {
       workerState: this.worker.description.state,
       isListed: this.worker.isListed,
@@ -617,7 +620,7 @@
 
   private updateRun(run: Run, row: RunningTask, now: number): void {
     if (run.phase === 'ordering') confirmStart(run, now);
-    this.confirmStart(run);
+    this.recordConfirmedStart(run);
     if (row.progressPercent !== run.progressPercent) run.progressedAt = now;
     run.progressPercent = row.progressPercent;
     run.load = row.load;
@@ -633,7 +636,7 @@
    * anew by a late order, and that its worker holds no lease that the next owner
    * would not expect.
    */
-  private confirmStart(run: Run): void {
+  private recordConfirmedStart(run: Run): void {
     if (!run.step.specification.isService || !run.isStartAnswered) return;
     if (this.leases.mayHoldOtherLease(this.options.clock.monotonicNow())) {
       return;
@@ -673,6 +676,14 @@
     }
   }
 
+  /** Monotonic time by which a run has ended if the worker stays unreachable. */
+  private endOfLeases(run: Run): number {
+    const {expireAt, adoptedExpireAt} = this.leases;
+    return run.isAdopted && run.notLostBefore === -Infinity
+      ? adoptedExpireAt
+      : Math.max(expireAt, run.notLostBefore);
+  }
+
   /**
    * Updates the time at which the runs of an unreachable worker end, and marks
    * them lost once it has passed.
@@ -681,12 +692,8 @@
     this.worker.mayHoldLongLease = this.leases.mayHoldLongLease(now);
     this.worker.runsEndAt = Infinity;
     if (this.isReachable) return;
-    const {expireAt, adoptedExpireAt} = this.leases;
     for (const run of [...this.worker.runs.values()]) {
-      const isKnown = run.isAdopted && run.notLostBefore === -Infinity;
-      const endAt = isKnown
-        ? adoptedExpireAt
-        : Math.max(expireAt, run.notLostBefore);
+      const endAt = this.endOfLeases(run);
       if (now > endAt && run.phase !== 'recording') {
         this.options.runs.markLost(run, 'lease expired');
       } else {
