--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -231,7 +231,7 @@
   private handleHost(host: HostRecord): void {
     const {self} = this.membership;
     this.membership.updateHost(host);
-    // The last words of the process before this one may be carried out late.
+    // The former process's announcement may be carried out after this one's.
     const isReplaced = host.name === self.name && host.isLeaving === true;
     if (isReplaced && host.incarnation !== self.incarnation) {
       void this.announce();
