Leave memory for the submissions of other teams

What callers would see: 503 to every submission of every team until work ends, once the clients of one team have filled the owner's memory with valid work, for good if that work can never run.

Cause: the memory for submissions is one pool, taken in the order of arrival.

Change: where the desired state names teams, one may hold at most four times what is free, with its endings. A first team gets 80 % of the memory, and what later ones get shrinks with what is held. Cells without teams are served as before.

--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -5,6 +5,7 @@
 import type {RecordName} from './record_name.js';
 import type {RestoredKeys} from './restored_keys.js';
 import type {SubmissionLimits} from './submission_limits.js';
+import {SubmissionMemory} from './submission_memory.js';
 import type {SubmissionRecord} from './submission_record.js';
 import {TeamUsage} from './team_usage.js';
 import type {WorkerState} from './worker_state.js';
@@ -27,8 +28,8 @@
   readonly unreadable = new Map<string, 'submission' | 'ending'>();
   readonly workers = new Map<string, WorkerState>();
   readonly teamUsage = TeamUsage.create();
-  /** Estimated heap that all unfinished submissions take. */
-  private usedMemoryBytes = 0;
+  /** Heap that all submissions take, also those that have ended. */
+  readonly memory = SubmissionMemory.create();
   /** Number of IDs that were cancelled without a submission. */
   private unsubmitted = 0;
 
@@ -38,11 +39,6 @@
     return new ShardState();
   }
 
-  /** Estimated heap that all submissions take, also those that have ended. */
-  get memoryBytes(): number {
-    return this.usedMemoryBytes + this.ended.size * ENDING_BYTES;
-  }
-
   /** Number of IDs that were cancelled before a submission was accepted. */
   get unsubmittedCount(): number {
     return this.unsubmitted;
@@ -50,12 +46,12 @@
 
   add(submission: SubmissionRecord): void {
     this.submissions.set(submission.id, submission);
-    this.usedMemoryBytes += submission.memoryBytes;
+    this.memory.add(requestOf(submission));
   }
 
   remove(submission: SubmissionRecord): void {
     if (!this.submissions.delete(submission.id)) return;
-    this.usedMemoryBytes -= submission.memoryBytes;
+    this.memory.remove(requestOf(submission));
   }
 
   /** Drops a submission and keeps only how and when it ended, not yet durably. */
@@ -83,6 +79,7 @@
     this.evictEnded(id);
     this.ended.set(id, ended);
     this.pendingEndings.set(id, ended);
+    this.memory.add({team: ended.team ?? '', bytes: ENDING_BYTES});
     if (ended.isUnsubmitted) this.unsubmitted++;
   }
 
@@ -92,7 +89,10 @@
   }
 
   evictEnded(id: string): void {
-    if (this.ended.get(id)?.isUnsubmitted) this.unsubmitted--;
+    const ended = this.ended.get(id);
+    if (!ended) return;
+    if (ended.isUnsubmitted) this.unsubmitted--;
+    this.memory.remove({team: ended.team ?? '', bytes: ENDING_BYTES});
     this.ended.delete(id);
     this.pendingEndings.delete(id);
   }
@@ -277,6 +277,10 @@
   }
 }
 
+function requestOf({team, memoryBytes}: SubmissionRecord) {
+  return {team, bytes: memoryBytes};
+}
+
 function* readyStepsOf(steps: StepState[]): Iterable<StepState> {
   for (const step of steps) {
     if (step.isDone) continue;
--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -402,10 +402,7 @@
       this.submissionLimits.memoryBytes,
       team,
     );
-    const memoryBytes = this.state.memoryBytes + submission.memoryBytes;
-    if (memoryBytes > this.submissionLimits.memoryBytes) {
-      return Left(fullError());
-    }
+    if (!this.hasMemoryFor(submission)) return Left(fullError());
     // A record whose commit failed may still be in the log.
     if (!this.state.submissions.has(id)) {
       const admitted = this.gate.admit(submission);
@@ -658,13 +655,20 @@
           undefined,
           team,
         );
-        const memoryBytes = this.state.memoryBytes + submission.memoryBytes;
-        return memoryBytes > this.submissionLimits.memoryBytes
-          ? Left(fullError())
-          : Right(this.explainer.explainRequest(submission, times));
+        return this.hasMemoryFor(submission)
+          ? Right(this.explainer.explainRequest(submission, times))
+          : Left(fullError());
       });
   }
 
+  private hasMemoryFor({team, memoryBytes}: SubmissionRecord): boolean {
+    return this.state.memory.hasRoom(
+      {team, bytes: memoryBytes},
+      this.submissionLimits.memoryBytes,
+      this.options.desiredState()?.teams !== undefined,
+    );
+  }
+
   /** Checks a call about one ID, and returns the caller's team. */
   private authorize(
     id: string,
