--- a/packages/cell-scheduler/src/shard_state.ts
+++ b/packages/cell-scheduler/src/shard_state.ts
@@ -46,12 +46,12 @@
 
   add(submission: SubmissionRecord): void {
     this.submissions.set(submission.id, submission);
-    this.memory.add(requestOf(submission));
+    this.memory.add(memoryUseOf(submission));
   }
 
   remove(submission: SubmissionRecord): void {
     if (!this.submissions.delete(submission.id)) return;
-    this.memory.remove(requestOf(submission));
+    this.memory.remove(memoryUseOf(submission));
   }
 
   /** Drops a submission and keeps only how and when it ended, not yet durably. */
@@ -277,7 +277,7 @@
   }
 }
 
-function requestOf({team, memoryBytes}: SubmissionRecord) {
+function memoryUseOf({team, memoryBytes}: SubmissionRecord) {
   return {team, bytes: memoryBytes};
 }
 
--- a/packages/cell-scheduler/src/submission_memory.ts
+++ b/packages/cell-scheduler/src/submission_memory.ts
@@ -4,7 +4,7 @@
  */
 const FREE_MEMORY_FACTOR = 4;
 
-interface MemoryRequest {
+interface MemoryUse {
   /** Empty for a submission of no team. */
   team: string;
   bytes: number;
@@ -21,12 +21,12 @@
     return new SubmissionMemory();
   }
 
-  add({team, bytes}: MemoryRequest): void {
+  add({team, bytes}: MemoryUse): void {
     this.usedBytes += bytes;
     this.usedByTeam.set(team, (this.usedByTeam.get(team) ?? 0) + bytes);
   }
 
-  remove({team, bytes}: MemoryRequest): void {
+  remove({team, bytes}: MemoryUse): void {
     this.usedBytes -= bytes;
     const left = (this.usedByTeam.get(team) ?? 0) - bytes;
     if (left > 0) this.usedByTeam.set(team, left);
@@ -38,7 +38,7 @@
    * leaves memory for the others; work without a team counts as one team.
    */
   hasRoom(
-    {team, bytes}: MemoryRequest,
+    {team, bytes}: MemoryUse,
     limitBytes: number,
     isShared: boolean,
   ): boolean {
