--- a/packages/client-limits/src/client_connection.ts
+++ b/packages/client-limits/src/client_connection.ts
@@ -32,6 +32,8 @@
   bytesReadBefore = 0;
   /** Monotonic time at which an unfinished head was first seen. */
   headSince: number | undefined;
+  /** Whether a request of the connection has been served. */
+  isUsed = false;
   /** Whether the connection left HTTP for another protocol. */
   isUpgraded = false;
   private bytesRead = 0;
@@ -64,6 +66,7 @@
   /** Notes the request that is served from now on. */
   begin(exchange: Exchange): void {
     this.current = exchange;
+    this.isUsed = true;
     this.changedAt = performance.now();
     const {headers} = exchange.request;
     this.feed.expectBody(Number(headers['content-length'] ?? 0));
--- a/packages/client-limits/src/client_limits.ts
+++ b/packages/client-limits/src/client_limits.ts
@@ -49,6 +49,10 @@
   readonly bodyMilliseconds = DEFAULT_BODY_MILLISECONDS;
   /** Requests of all connections that wait for an earlier one of theirs. */
   waitingRequestCount = 0;
+  /** Connections that all servers of the process have accepted. */
+  acceptedConnectionCount = 0;
+  /** Those of them that clients closed before the first request was served. */
+  unusedConnectionCount = 0;
   readonly budget: ByteBudget;
   /** Descriptors that the connections of clients and servers may use. */
   readonly connections: number;
--- a/packages/client-limits/src/guarded_server.ts
+++ b/packages/client-limits/src/guarded_server.ts
@@ -84,9 +84,12 @@
     }
     const connection = ClientConnection.create(socket);
     this.connections.set(socket, connection);
+    const {limits} = this.options;
+    limits.acceptedConnectionCount++;
     socket.once('close', () => {
       this.connections.delete(socket);
-      this.options.limits.waitingRequestCount -= connection.waiting.length;
+      if (!connection.isUsed) limits.unusedConnectionCount++;
+      limits.waitingRequestCount -= connection.waiting.length;
       connection.waiting.length = 0;
     });
   }
