Open connections to a busy owner one after another

Cause: a storm of connections that keeps a busy owner from recovering. A process accepts one connection in a turn of its event loop. After a change of the owner each of 97 hosts opens up to 18 connections at once, and opens new ones when calls time out. The owner accepts them in order, so most have been given up, and their requests cost it processor time all the same.

Change: a host sends one call at a time to a server that has not answered yet, and one more with each answer, so the storm follows the server's answers. A connection that was never answered is kept for 4 s. Calls that were not sent end as such, in 503 instead of 504. Only pings, submissions, cancellations and reads at the owner start slowly; advice and relays are as before.

--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -28,6 +28,16 @@
  */
 const READ_CONNECTIONS_PER_HOST = 6;
 
+/**
+ * Methods that all hosts call at the owner. After a change of the owner they do
+ * so at the same time, so their connections are opened one after another.
+ */
+const OWNER_METHODS = new Set<string>([
+  PeerMethod.ping,
+  PeerMethod.submit,
+  PeerMethod.cancel,
+]);
+
 /** Most bytes of an answer; hosts pass on answers of the store. */
 const MAXIMUM_RESPONSE_BYTES = 64_000_000;
 
@@ -64,8 +74,9 @@
 export class PeerClient {
   private nextId = 1;
 
-  private readonly clients = new Map<string, HttpClient>();
+  private readonly ownerClients = new Map<string, HttpClient>();
   private readonly readClients = new Map<string, HttpClient>();
+  private readonly otherClients = new Map<string, HttpClient>();
 
   private readonly unanswered = new WeakSet<TypedError>();
 
@@ -89,9 +100,7 @@
     let failure: TypedError | undefined;
     const client = new JSONRPCClient<void>(
       async body => {
-        const http = READ_METHODS.has(method)
-          ? clientFor(this.readClients, address, READ_CONNECTIONS_PER_HOST)
-          : clientFor(this.clients, address, CONNECTIONS_PER_HOST);
+        const http = this.clientFor(address, method);
         const answer = await this.post(
           http,
           address,
@@ -132,6 +141,21 @@
     return this.unanswered.has(failure);
   }
 
+  private clientFor(address: string, method: string): HttpClient {
+    if (READ_METHODS.has(method)) {
+      return getOrCreate(this.readClients, address, {
+        connections: READ_CONNECTIONS_PER_HOST,
+        startsSlowly: true,
+      });
+    }
+    const startsSlowly = OWNER_METHODS.has(method);
+    return getOrCreate(
+      startsSlowly ? this.ownerClients : this.otherClients,
+      address,
+      {connections: CONNECTIONS_PER_HOST, startsSlowly},
+    );
+  }
+
   private async post(
     client: HttpClient,
     address: string,
@@ -156,15 +180,15 @@
   }
 }
 
-function clientFor(
+function getOrCreate(
   clients: Map<string, HttpClient>,
   address: string,
-  connections: number,
+  options: {connections: number; startsSlowly: boolean},
 ): HttpClient {
   const known = clients.get(address);
   if (known) return known;
   const client = HttpClient.create({
-    connections,
+    ...options,
     connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
     keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
     keepsSlowConnections: true,
--- a/packages/http-client/src/http_client.ts
+++ b/packages/http-client/src/http_client.ts
@@ -6,6 +6,7 @@
 } from '@cardamomfield/errors';
 import {type Either, Left, Right} from 'purify-ts';
 import {Agent} from 'undici';
+import {CallWindow} from './call_window.js';
 import {PendingResponse} from './pending_response.js';
 
 /** An HTTP call with a time limit that covers the whole response. */
@@ -37,6 +38,13 @@
    * connections; opening new ones for each slow call keeps it from recovering.
    */
   keepsSlowConnections?: boolean;
+  /**
+   * Whether the client sends one call at first and one more with each answer,
+   * and keeps connections that were never answered for longer. A server accepts
+   * one connection in a turn of its event loop; if many clients open all of
+   * theirs at once, it accepts most of them after they have been given up.
+   */
+  startsSlowly?: boolean;
   /** A response with more bytes ends its call and its connection. */
   maximumResponseBytes?: number;
 }
@@ -53,6 +61,12 @@
 /** Longest interval for a server that does not answer at all. */
 const MAXIMUM_REPLACEMENT_INTERVAL_MILLISECONDS = 4_000;
 
+/**
+ * Time for which a client that starts slowly waits for the first answer: a new
+ * connection would be accepted after all that other clients have opened since.
+ */
+const FIRST_ANSWER_MILLISECONDS = 4_000;
+
 /** Time that replaced connections get to finish the calls in flight. */
 const DRAIN_MILLISECONDS = 5_000;
 
@@ -61,6 +75,14 @@
 
 const SCHEME_LENGTH = 'http://'.length;
 
+/** Connections that are replaced together. */
+interface ConnectionGroup {
+  agent: Agent;
+  window: CallWindow;
+  createdAt: number;
+  isAnswered: boolean;
+}
+
 /** Errors of connections that were never opened, so nothing was sent. */
 const CONNECT_FAILURE =
   /ECONNREFUSED|UND_ERR_CONNECT_TIMEOUT|EHOSTUNREACH|ENETUNREACH/;
@@ -72,7 +94,12 @@
  */
 export class HttpClient {
   private readonly clock = SystemClock.create();
-  private agent: Agent;
+  private group: ConnectionGroup;
+  /**
+   * Calls that wait for room in the window, the newest first to leave: the oldest
+   * would be sent when its time is almost over, and so would all after it.
+   */
+  private readonly waiting = new Map<PendingResponse, HttpCall>();
   private replacedAt = -Infinity;
   private replacementInterval = REPLACEMENT_INTERVAL_MILLISECONDS;
   private answeredAt = -Infinity;
@@ -81,7 +108,7 @@
 
   private constructor(private readonly options: HttpClientOptions) {
     this.maximumBytes = options.maximumResponseBytes ?? MAXIMUM_RESPONSE_BYTES;
-    this.agent = this.createAgent();
+    this.group = this.createGroup();
   }
 
   static create(options: HttpClientOptions): HttpClient {
@@ -120,13 +147,37 @@
           resolve(Left(error));
         });
       }, call.timeoutMilliseconds);
-      this.send(call, pending);
+      this.waiting.set(pending, call);
+      this.sendWaiting();
     });
   }
 
+  private sendWaiting(): void {
+    const {window} = this.group;
+    const now = performance.now();
+    const idleSince = now - this.options.keepAliveMilliseconds;
+    // By then the connections have been closed.
+    if (window.isEmpty && this.answeredAt < idleSince) {
+      window.shrink();
+      Object.assign(this.group, {createdAt: now, isAnswered: false});
+    }
+    while (window.hasRoom && this.waiting.size > 0) {
+      const [pending, call] = [...this.waiting].at(-1)!;
+      this.waiting.delete(pending);
+      this.send(call, pending);
+    }
+  }
+
   private send(call: HttpCall, pending: PendingResponse): void {
+    const {group} = this;
+    group.window.begin();
+    pending.onReleased = outcome => {
+      group.window.end(outcome);
+      if (outcome === 'answered') group.isAnswered = true;
+      this.sendWaiting();
+    };
     const pathStart = call.url.indexOf('/', SCHEME_LENGTH);
-    this.agent.dispatch(
+    group.agent.dispatch(
       {
         origin: call.url.slice(0, pathStart),
         path: call.url.slice(pathStart),
@@ -139,7 +190,7 @@
   }
 
   close(): Promise<void> {
-    return this.agent.destroy();
+    return this.group.agent.destroy();
   }
 
   /** Ends a call that timed out and leaves its connection open. */
@@ -148,6 +199,7 @@
     pending: PendingResponse,
     startedAt: number,
   ): TypedError {
+    this.waiting.delete(pending);
     pending.abandon(() => this.noteAnswer());
     if (!pending.isSent) {
       return UnavailableError.create(
@@ -162,6 +214,7 @@
 
   /** Ends a call that timed out, and its connection with it. */
   private abort(call: HttpCall, pending: PendingResponse): TypedError {
+    this.waiting.delete(pending);
     pending.abort(new Error('timed out'));
     this.replaceAgent();
     return UncertainError.create(timeoutMessage(call.url));
@@ -175,6 +228,14 @@
   private replaceAgent(): void {
     const now = performance.now();
     if (now - this.replacedAt < this.replacementInterval) return;
+    const {createdAt, isAnswered} = this.group;
+    if (
+      this.options.startsSlowly &&
+      !isAnswered &&
+      now - createdAt < FIRST_ANSWER_MILLISECONDS
+    ) {
+      return;
+    }
     this.replacedAt = now;
     if (this.options.keepsSlowConnections) {
       this.replacementInterval = Math.min(
@@ -182,9 +243,22 @@
         this.replacementInterval * 2,
       );
     }
-    const replaced = this.agent;
-    this.agent = this.createAgent();
+    const replaced = this.group.agent;
+    this.group = this.createGroup();
     setTimeout(() => void replaced.destroy(), DRAIN_MILLISECONDS).unref();
+    this.sendWaiting();
+  }
+
+  private createGroup(): ConnectionGroup {
+    const {connections, startsSlowly} = this.options;
+    return {
+      agent: this.createAgent(),
+      window: startsSlowly
+        ? CallWindow.growing(connections)
+        : CallWindow.unbounded(),
+      createdAt: performance.now(),
+      isAnswered: false,
+    };
   }
 
   private createAgent(): Agent {
--- a/packages/http-client/src/pending_response.ts
+++ b/packages/http-client/src/pending_response.ts
@@ -2,6 +2,7 @@
 import type {CallDeadline} from '@cardamomfield/clock';
 import {UnavailableError} from '@cardamomfield/errors';
 import type {Dispatcher} from 'undici';
+import type {CallRelease} from './call_release.js';
 
 /** The complete response, or the error if there is none. */
 type Outcome = {status: number; body: Buffer} | {thrown: unknown};
@@ -18,6 +19,8 @@
   private bytes = 0;
   private isOver = false;
   private onLateResponse: (() => void) | undefined;
+  /** Called once a call that was dispatched takes no connection any more. */
+  onReleased: (release: CallRelease) => void = () => undefined;
 
   private constructor(
     private readonly deadline: CallDeadline,
@@ -92,6 +95,7 @@
 
   onResponseEnd(): void {
     this.onLateResponse?.();
+    this.onReleased('answered');
     if (this.isOver) return;
     this.settle({status: this.status, body: this.blocks.join()});
   }
@@ -100,6 +104,7 @@
     _controller: Dispatcher.DispatchController,
     thrown: Error,
   ): void {
+    this.onReleased(thrown instanceof UnavailableError ? 'unsent' : 'failed');
     this.settle({thrown});
   }
 
