Ping the owner over connections of their own

Cause: a host that starts slowly sends one call at a time, and pings waited behind submissions. The hosts that claimed the shard had 'timed out before it was sent' as the failure of their last ping, and so had those that they asked.

Change: pings have a client of their own, which starts slowly as well.

Result: peer_client.test.ts, 'answers owner.ping while calls of submission.submit wait for their answers', red on the commit before.

--- a/packages/cell-host/src/peer_client.test.ts
+++ b/packages/cell-host/src/peer_client.test.ts
@@ -8,8 +8,8 @@
 
 const TEST_TIMEOUT_MILLISECONDS = 5_000;
 
-/** More reads than a host has connections to another one. */
-const WAITING_READS = 30;
+/** More calls than a host has connections to another one. */
+const WAITING_CALLS = 30;
 
 let server: Server;
 
@@ -48,10 +48,14 @@
 );
 
 // Guards against submissions that wait until their deadline behind reads, which
-// the owner answers only after a proof of its epoch.
-it(
-  'makes changes while reads wait for their answers',
-  async () => {
+// the owner answers only after a proof of its epoch, and against an owner that
+// looks silent since pings wait behind submissions.
+it.each([
+  [PeerMethod.submit, PeerMethod.show],
+  [PeerMethod.ping, PeerMethod.submit],
+])(
+  'answers %s while calls of %s wait for their answers',
+  async (answered, unanswered) => {
     server = createServer((request, response) => {
       const chunks: Buffer[] = [];
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -60,7 +64,7 @@
           id: number;
           method: string;
         };
-        if (method === PeerMethod.show) return;
+        if (method === unanswered) return;
         response.end(JSON.stringify({jsonrpc: '2.0', id, result: {}}));
       });
     });
@@ -77,12 +81,10 @@
         PeerMessages.empty,
         TEST_TIMEOUT_MILLISECONDS / 2,
       );
-    const reads = Array.from({length: WAITING_READS}, () =>
-      call(PeerMethod.show),
-    );
-    expect((await call(PeerMethod.submit)).isRight()).toBe(true);
+    const waiting = Array.from({length: WAITING_CALLS}, () => call(unanswered));
+    expect((await call(answered)).isRight()).toBe(true);
     server.closeAllConnections();
-    await Promise.all(reads);
+    await Promise.all(waiting);
   },
   TEST_TIMEOUT_MILLISECONDS,
 );
--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -29,14 +29,13 @@
 const READ_CONNECTIONS_PER_HOST = 6;
 
 /**
- * Methods that all hosts call at the owner. After a change of the owner they do
- * so at the same time, so their connections are opened one after another.
+ * Connections for pings. They are not shared with other calls: a ping that waits
+ * behind one makes a busy owner look silent.
  */
-const OWNER_METHODS = new Set<string>([
-  PeerMethod.ping,
-  PeerMethod.submit,
-  PeerMethod.cancel,
-]);
+const PING_CONNECTIONS_PER_HOST = 2;
+
+/** Methods that change the owner's state. */
+const CHANGE_METHODS = new Set<string>([PeerMethod.submit, PeerMethod.cancel]);
 
 /** Most bytes of an answer; hosts pass on answers of the store. */
 const MAXIMUM_RESPONSE_BYTES = 64_000_000;
@@ -74,7 +73,8 @@
 export class PeerClient {
   private nextId = 1;
 
-  private readonly ownerClients = new Map<string, HttpClient>();
+  private readonly pingClients = new Map<string, HttpClient>();
+  private readonly changeClients = new Map<string, HttpClient>();
   private readonly readClients = new Map<string, HttpClient>();
   private readonly otherClients = new Map<string, HttpClient>();
 
@@ -141,19 +141,30 @@
     return this.unanswered.has(failure);
   }
 
+  /**
+   * After a change of the owner all hosts ping it, and call it for their callers,
+   * at the same time. These connections are opened one after another.
+   */
   private clientFor(address: string, method: string): HttpClient {
+    const startsSlowly = true;
+    if (method === PeerMethod.ping) {
+      const connections = PING_CONNECTIONS_PER_HOST;
+      return getOrCreate(this.pingClients, address, {
+        connections,
+        startsSlowly,
+      });
+    }
     if (READ_METHODS.has(method)) {
+      const connections = READ_CONNECTIONS_PER_HOST;
       return getOrCreate(this.readClients, address, {
-        connections: READ_CONNECTIONS_PER_HOST,
-        startsSlowly: true,
+        connections,
+        startsSlowly,
       });
     }
-    const startsSlowly = OWNER_METHODS.has(method);
-    return getOrCreate(
-      startsSlowly ? this.ownerClients : this.otherClients,
-      address,
-      {connections: CONNECTIONS_PER_HOST, startsSlowly},
-    );
+    const connections = CONNECTIONS_PER_HOST;
+    return CHANGE_METHODS.has(method)
+      ? getOrCreate(this.changeClients, address, {connections, startsSlowly})
+      : getOrCreate(this.otherClients, address, {connections});
   }
 
   private async post(
@@ -183,7 +194,7 @@
 function getOrCreate(
   clients: Map<string, HttpClient>,
   address: string,
-  options: {connections: number; startsSlowly: boolean},
+  options: {connections: number; startsSlowly?: boolean},
 ): HttpClient {
   const known = clients.get(address);
   if (known) return known;
