--- a/packages/cell-host/src/peer_client.ts
+++ b/packages/cell-host/src/peer_client.ts
@@ -18,7 +18,7 @@
 
 /**
  * Maximum connections to one host; further calls wait for a free one. A new
- * owner gets as many from each host at the same time, and accepts them slowly.
+ * owner gets some from each host at the same time, and accepts them slowly.
  */
 const CONNECTIONS_PER_HOST = 12;
 
