--- a/packages/http-client/src/slow_start.test.ts
+++ b/packages/http-client/src/slow_start.test.ts
@@ -5,7 +5,7 @@
 const CLIENTS = 40;
 const CALLS_PER_CLIENT = 6;
 const CONNECTIONS = 12;
-const TIMEOUT_MILLISECONDS = 900;
+const TIMEOUT_MILLISECONDS = 300;
 
 /** Turns in which a server can accept one connection of each client. */
 const TURNS = 3 * CLIENTS;
