Send the next call on the connection that was answered

What callers saw: 504 from hosts whose connection to a busy owner was accepted, while the owner had time for them.

Cause: a client that starts slowly sends its next calls within the callback of an answer. Undici frees the connection one turn of the event loop later, so these calls open new connections. They fill the window until a busy server has accepted them, and the accepted connection is idle for as long.

Change: the client sends two turns after a call, an answer or a replacement of its connections, and passes over calls whose time limit is over by then. It takes the turns from the clock package, which now has the wait for unread input as well.

Result: the time bound of the test is two thirds of the former one, since each client is now answered sooner.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,4 +1,6 @@
 /** Time and randomness behind interfaces, so that tests can control both. */
+export * from './after_pending_input.js';
+export * from './after_turns.js';
 export * from './call_deadline.js';
 export * from './clock.js';
 export * from './pause_detector.js';
--- a/packages/http-client/src/http_client.ts
+++ b/packages/http-client/src/http_client.ts
@@ -1,4 +1,9 @@
-import {CallDeadline, SystemClock} from '@cardamomfield/clock';
+import {
+  CallDeadline,
+  SystemClock,
+  afterPendingInput,
+  afterTurns,
+} from '@cardamomfield/clock';
 import {
   type TypedError,
   UnavailableError,
@@ -70,8 +75,12 @@
 /** Time that replaced connections get to finish the calls in flight. */
 const DRAIN_MILLISECONDS = 5_000;
 
-/** Event loop iterations that it takes to read a response's head and body. */
-const READ_ITERATIONS = 2;
+/**
+ * Undici sends on a connection again in the turn after its answer ended. A call
+ * that is dispatched earlier opens another connection, which a busy server
+ * accepts last, while the accepted one is idle.
+ */
+const RELEASE_TURNS = 2;
 
 const SCHEME_LENGTH = 'http://'.length;
 
@@ -100,6 +109,7 @@
    * would be sent when its time is almost over, and so would all after it.
    */
   private readonly waiting = new Map<PendingResponse, HttpCall>();
+  private isSendingScheduled = false;
   private replacedAt = -Infinity;
   private replacementInterval = REPLACEMENT_INTERVAL_MILLISECONDS;
   private answeredAt = -Infinity;
@@ -148,6 +158,20 @@
         });
       }, call.timeoutMilliseconds);
       this.waiting.set(pending, call);
+      this.scheduleSending();
+    });
+  }
+
+  /** Sends once connections that were released can be used again. */
+  private scheduleSending(): void {
+    if (!this.options.startsSlowly) {
+      this.sendWaiting();
+      return;
+    }
+    if (this.isSendingScheduled) return;
+    this.isSendingScheduled = true;
+    void afterTurns(RELEASE_TURNS).then(() => {
+      this.isSendingScheduled = false;
       this.sendWaiting();
     });
   }
@@ -161,8 +185,10 @@
       window.shrink();
       Object.assign(this.group, {createdAt: now, isAnswered: false});
     }
-    while (window.hasRoom && this.waiting.size > 0) {
-      const [pending, call] = [...this.waiting].at(-1)!;
+    while (window.hasRoom) {
+      const next = [...this.waiting].findLast(([{isExpired}]) => !isExpired);
+      if (!next) return;
+      const [pending, call] = next;
       this.waiting.delete(pending);
       this.send(call, pending);
     }
@@ -174,7 +200,7 @@
     pending.onReleased = outcome => {
       group.window.end(outcome);
       if (outcome === 'answered') group.isAnswered = true;
-      this.sendWaiting();
+      this.scheduleSending();
     };
     const pathStart = call.url.indexOf('/', SCHEME_LENGTH);
     group.agent.dispatch(
@@ -246,7 +272,7 @@
     const replaced = this.group.agent;
     this.group = this.createGroup();
     setTimeout(() => void replaced.destroy(), DRAIN_MILLISECONDS).unref();
-    this.sendWaiting();
+    this.scheduleSending();
   }
 
   private createGroup(): ConnectionGroup {
@@ -275,17 +301,6 @@
   }
 }
 
-/**
- * Resolves once the event loop has read the data that had already arrived.
- * After a pause of the process, timers fire before sockets are read, so a time
- * limit can expire although the response has arrived.
- */
-async function afterPendingInput(): Promise<void> {
-  for (let iteration = 0; iteration < READ_ITERATIONS; iteration++) {
-    await new Promise(resolve => setImmediate(resolve));
-  }
-}
-
 function timeoutMessage(url: string): string {
   return `no answer from ${url.split('?')[0]}: timed out`;
 }
--- a/packages/http-client/src/pending_response.ts
+++ b/packages/http-client/src/pending_response.ts
@@ -41,6 +41,11 @@
     return this.isOver;
   }
 
+  /** True once the call must not be sent any more. */
+  get isExpired(): boolean {
+    return this.deadline.hasPassed;
+  }
+
   /** True once the request has been written to a connection. */
   get isSent(): boolean {
     return this.controller !== undefined;
--- a/packages/http-client/src/slow_start.test.ts
+++ b/packages/http-client/src/slow_start.test.ts
@@ -8,7 +8,7 @@
 const TIMEOUT_MILLISECONDS = 300;
 
 /** Turns in which a server can accept one connection of each client. */
-const TURNS = 3 * CLIENTS;
+const TURNS = 2 * CLIENTS;
 
 /**
  * HTTP server on another thread whose event loop takes 40 ms a turn, as that of
@@ -39,7 +39,8 @@
 }
 
 // Guards against a new owner that answers few hosts for many seconds: each opens
-// all of its connections at once and gives them up before they are accepted.
+// all of its connections at once and gives them up before they are accepted, or
+// waits for another connection while an accepted one is idle.
 it('lets a busy server answer each of many clients', async () => {
   const server = new Worker(BUSY_SERVER, {
     eval: true,
