Read what has arrived before a call through a relay times out

What callers saw: work that was accepted started late, or 504, while the owner was at the limit of its processor.

Cause: the time limit of a call through a relay is a timer, and after a long turn of the event loop timers fire before sockets are read. An answer that arrived in time is then dropped, the start counts as unanswered, so its run waits for a lease to end, and the channel may be closed as silent with all calls on it.

Change: the channel reads what has arrived before it ends a call. The time limit of the library is longer and only drops the call.

--- a/packages/worker-relay/src/relay_channel.ts
+++ b/packages/worker-relay/src/relay_channel.ts
@@ -1,7 +1,11 @@
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {HostRecord, WorkerDescription} from '@cardamomfield/cell-model';
-import {CallDeadline, type Clock} from '@cardamomfield/clock';
+import {
+  CallDeadline,
+  type Clock,
+  afterPendingInput,
+} from '@cardamomfield/clock';
 import {
   type TypedError,
   UnavailableError,
@@ -27,6 +31,12 @@
  */
 const SILENCE_MILLISECONDS = 600;
 
+/**
+ * Time after its limit when the library drops a call that has no answer. The
+ * channel ends the call before that, once it has read what has arrived.
+ */
+const UNANSWERED_MILLISECONDS = 5_000;
+
 interface RelayChannelOptions {
   host: HostRecord;
   epoch: number;
@@ -101,19 +111,18 @@
     }
     const sentAt = this.options.clock.monotonicNow();
     try {
-      const answer: unknown = await this.client
-        .timeout(timeoutMilliseconds)
-        .request(
-          method,
-          {
-            handle: this.handleOf(worker),
-            ...(payload === undefined
-              ? {}
-              : {payloadKey: this.payloadKeyOf(payload)}),
-            ...parameters,
-          },
-          deadline,
-        );
+      const answer = await this.request(
+        method,
+        {
+          handle: this.handleOf(worker),
+          ...(payload === undefined
+            ? {}
+            : {payloadKey: this.payloadKeyOf(payload)}),
+          ...parameters,
+        },
+        timeoutMilliseconds,
+        deadline,
+      );
       const parsed = result.safeParse(answer);
       if (parsed.success) return Right(parsed.data);
       return Left(
@@ -157,10 +166,11 @@
       this.stream = this.createStream(socket);
       this.lastMessageAt = this.options.clock.monotonicNow();
       // The relay handles calls in order, so it serves later ones after this.
-      void this.client
-        .timeout(CONNECT_TIMEOUT_MILLISECONDS)
-        .request(RelayMethod.open, {epoch, ownerName})
-        .then(undefined, (thrown: unknown) => this.terminate(String(thrown)));
+      void this.request(
+        RelayMethod.open,
+        {epoch, ownerName},
+        CONNECT_TIMEOUT_MILLISECONDS,
+      ).then(undefined, (thrown: unknown) => this.terminate(String(thrown)));
       return Right(this.stream);
     } catch (thrown) {
       this.terminate(String(thrown));
@@ -172,6 +182,35 @@
     }
   }
 
+  /**
+   * Rejects a call without an answer within its time limit. What has arrived is
+   * read first: after a long turn of the event loop timers fire before sockets
+   * are read.
+   */
+  private async request(
+    method: string,
+    parameters: Record<string, unknown>,
+    timeoutMilliseconds: number,
+    deadline?: CallDeadline,
+  ): Promise<unknown> {
+    let timer: NodeJS.Timeout | undefined;
+    const timedOut = new Promise<never>((_resolve, reject) => {
+      timer = setTimeout(() => {
+        void afterPendingInput().then(() => reject(new Error('timed out')));
+      }, timeoutMilliseconds);
+    });
+    try {
+      return await Promise.race([
+        timedOut,
+        this.client
+          .timeout(timeoutMilliseconds + UNANSWERED_MILLISECONDS)
+          .request(method, parameters, deadline),
+      ]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
   private createStream(socket: Duplex): FrameStream {
     if (socket instanceof Socket) socket.setNoDelay(true);
     return FrameStream.create({
