Do the constant parts of a scheduling pass once

What callers saw: 504 while the owner was at the limit of its processor.

Cause: each pass works for each waiting step and each worker, and did parts of that anew that do not change: it built the key of the worker's incarnation to look up whether the advice service was asked about it, sorted workers that are alike by a cost that is 0 for all, and created an object for the channel through each other host.

Change: a worker's state has the key of its incarnation, workers are only sorted if one of them is slow or failing, and a host keeps its channel to another one while that process lasts.

The order of the workers and of the channels is the same; the tests of the scheduler are unchanged.

--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -107,6 +107,8 @@
    * owned and does not own any more.
    */
   private readonly endedOwnerships = new Map<number, number>();
+  /** Channels through other hosts; each scheduling pass asks for all of them. */
+  private readonly remoteAdvisers = new Map<string, RemoteAdviser>();
   private owner: ShardOwner | undefined;
   private isFetchingDesiredState = false;
   private readonly pauses: PauseMonitor;
@@ -524,7 +526,7 @@
   }
 
   private adviceChannels(): AdviceChannel[] {
-    const {ports, peers} = this.options;
+    const {ports} = this.options;
     const channels: AdviceChannel[] = [];
     if (ports.adviser) {
       channels.push({
@@ -535,12 +537,21 @@
     for (const host of this.membership.responsivePeers()) {
       channels.push({
         hostName: host.name,
-        adviser: RemoteAdviser.create(peers, host, this.membership),
+        adviser: this.remoteAdviserOf(host),
       });
     }
     return channels;
   }
 
+  private remoteAdviserOf(host: HostRecord): RemoteAdviser {
+    const known = this.remoteAdvisers.get(host.name);
+    if (known?.host.incarnation === host.incarnation) return known;
+    const {peers} = this.options;
+    const adviser = RemoteAdviser.create(peers, host, this.membership);
+    this.remoteAdvisers.set(host.name, adviser);
+    return adviser;
+  }
+
   private addMethods(server: PeerServer): void {
     const {ports, clock} = this.options;
     server.handle(PeerMethod.ping, PeerMessages.ping, async call => {
--- a/packages/cell-scheduler/src/advice_planner.ts
+++ b/packages/cell-scheduler/src/advice_planner.ts
@@ -205,7 +205,11 @@
   ): UsableWorker[] {
     if (isCheapToName(step)) {
       const start = hash(step.name) % Math.max(1, usable.length);
-      return [...usable.slice(start), ...usable.slice(0, start)].sort(
+      const rotated = [...usable.slice(start), ...usable.slice(0, start)];
+      if (usable.every(({worker}) => !worker.judgement.isUneven)) {
+        return rotated;
+      }
+      return rotated.sort(
         (a, b) =>
           this.choice.unevenCost(step, a.worker) -
           this.choice.unevenCost(step, b.worker),
--- a/packages/cell-scheduler/src/step_advice.ts
+++ b/packages/cell-scheduler/src/step_advice.ts
@@ -1,4 +1,3 @@
-import {incarnationKey} from './incarnation_key.js';
 import type {WorkerState} from './worker_state.js';
 
 /** A ticket for one worker. */
@@ -45,8 +44,7 @@
   /** True when the service was asked about the incarnation and said no. */
   isRejected(worker: WorkerState): boolean {
     return (
-      this.queriedWorkers.has(incarnationKey(worker)) &&
-      !this.isApproved(worker)
+      this.queriedWorkers.has(worker.incarnationKey) && !this.isApproved(worker)
     );
   }
 
--- a/packages/cell-scheduler/src/worker_state.ts
+++ b/packages/cell-scheduler/src/worker_state.ts
@@ -44,6 +44,11 @@
 
   /** The rack named by the worker's labels; empty when there is none. */
   rack = '';
+  /**
+   * Identifies the worker's incarnation, as `id@bornAt`. Passes compare it for
+   * each step and worker, so it is not built anew each time.
+   */
+  incarnationKey = '';
   private currentDescription: WorkerDescription;
 
   private constructor(description: WorkerDescription) {
@@ -65,6 +70,7 @@
 
   set description(description: WorkerDescription) {
     this.currentDescription = description;
+    this.incarnationKey = `${description.id}@${description.bornAtUnixMilliseconds}`;
     this.rack = description.labels.find(label => RACK_LABEL.test(label)) ?? '';
   }
 
