Wake waits for a change without an AbortController

What callers saw: 504 while the owner was at the limit of its processor.

Cause: each wait for a change until a deadline, of which an owner has some for each worker, creates an AbortController, whose signal is an event target.

Change: a waker has only what a sleep needs; clocks accept it and abort signals alike.

--- a/packages/cell-host/src/worker_relay.test.ts
+++ b/packages/cell-host/src/worker_relay.test.ts
@@ -8,7 +8,7 @@
   WorkerLink,
   WorkerReport,
 } from '@cardamomfield/cell-model';
-import {type Clock, SystemClock} from '@cardamomfield/clock';
+import {type Clock, SystemClock, type SleepSignal} from '@cardamomfield/clock';
 import type {TypedError} from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
 import {MemoryMetrics} from '@cardamomfield/metrics';
@@ -115,7 +115,7 @@
     return this.system.wallNow() + this.wallOffset + this.bothOffset;
   }
 
-  sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+  sleepUntil(deadline: number, signal?: SleepSignal): Promise<void> {
     return this.system.sleepUntil(deadline - this.bothOffset, signal);
   }
 }
--- a/packages/cell-stand-ins/src/pausable_clock.ts
+++ b/packages/cell-stand-ins/src/pausable_clock.ts
@@ -1,4 +1,4 @@
-import type {Clock, ManualClock} from '@cardamomfield/clock';
+import type {Clock, ManualClock, SleepSignal} from '@cardamomfield/clock';
 
 const SHORTEST_SLEEP_MILLISECONDS = 1e-6;
 
@@ -27,7 +27,7 @@
     return this.virtualClock.wallNow();
   }
 
-  async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+  async sleepUntil(deadline: number, signal?: SleepSignal): Promise<void> {
     while (!signal?.aborted && this.monotonicNow() < deadline) {
       await this.whenRunning();
       // Rounding may put the deadline at the present time of the virtual clock
--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -1,3 +1,5 @@
+import type {SleepSignal} from './sleep_signal.js';
+
 /**
  * Source of time. Monotonic values are milliseconds from an arbitrary start
  * and must never leave the process; wall values are milliseconds since the
@@ -14,5 +16,5 @@
    * Resolves once `monotonicNow()` is at or after the deadline, or as soon as
    * the signal aborts. It never rejects: callers check the signal themselves.
    */
-  sleepUntil(monotonicDeadline: number, signal?: AbortSignal): Promise<void>;
+  sleepUntil(monotonicDeadline: number, signal?: SleepSignal): Promise<void>;
 }
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -8,4 +8,6 @@
 export * from './notifier.js';
 export * from './random_source.js';
 export * from './seeded_random_source.js';
+export * from './sleep_signal.js';
 export * from './system_clock.js';
+export * from './waker.js';
--- a/packages/clock/src/manual_clock.ts
+++ b/packages/clock/src/manual_clock.ts
@@ -1,4 +1,5 @@
 import type {Clock} from './clock.js';
+import type {SleepSignal} from './sleep_signal.js';
 
 interface Sleeper {
   deadline: number;
@@ -30,7 +31,7 @@
     return Math.floor(this.now + this.wallOffset);
   }
 
-  sleepUntil(monotonicDeadline: number, signal?: AbortSignal): Promise<void> {
+  sleepUntil(monotonicDeadline: number, signal?: SleepSignal): Promise<void> {
     if (signal?.aborted || monotonicDeadline <= this.now) {
       return Promise.resolve();
     }
--- a/packages/clock/src/notifier.ts
+++ b/packages/clock/src/notifier.ts
@@ -1,4 +1,5 @@
 import type {Clock} from './clock.js';
+import {Waker} from './waker.js';
 
 /** Lets tasks wait until another task signals a change. */
 export class Notifier {
@@ -28,12 +29,9 @@
       await new Promise<void>(resolve => this.wakers.add(resolve));
       return;
     }
-    const controller = new AbortController();
-    // Without an explicit reason, each abort would create an exception with a
-    // stack trace.
-    const wake = () => controller.abort('notified');
-    this.wakers.add(wake);
-    await this.clock.sleepUntil(deadline, controller.signal);
-    this.wakers.delete(wake);
+    const waker = Waker.create();
+    this.wakers.add(waker.wake);
+    await this.clock.sleepUntil(deadline, waker);
+    this.wakers.delete(waker.wake);
   }
 }
--- a/packages/clock/src/system_clock.ts
+++ b/packages/clock/src/system_clock.ts
@@ -1,4 +1,5 @@
 import type {Clock} from './clock.js';
+import type {SleepSignal} from './sleep_signal.js';
 
 /** Longest delay that Node's timers accept without overflow. */
 const MAXIMUM_TIMER_MILLISECONDS = 2 ** 31 - 1;
@@ -21,7 +22,7 @@
 
   async sleepUntil(
     monotonicDeadline: number,
-    signal?: AbortSignal,
+    signal?: SleepSignal,
   ): Promise<void> {
     // Timers may fire up to a millisecond early, so the deadline is checked
     // again after each one.
@@ -32,7 +33,7 @@
     }
   }
 
-  private wait(milliseconds: number, signal?: AbortSignal): Promise<void> {
+  private wait(milliseconds: number, signal?: SleepSignal): Promise<void> {
     return new Promise(resolve => {
       const finish = () => {
         clearTimeout(timer);
--- a/packages/fuzz/src/ownership/simulated_clock.ts
+++ b/packages/fuzz/src/ownership/simulated_clock.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@cardamomfield/clock';
+import type {Clock, SleepSignal} from '@cardamomfield/clock';
 import type {ProcessState} from './process_state.js';
 import type {SimulationEngine} from './simulation_engine.js';
 
@@ -37,7 +37,7 @@
     return (monotonic - this.start) / this.rate + 1e-6;
   }
 
-  sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+  sleepUntil(deadline: number, signal?: SleepSignal): Promise<void> {
     if (signal?.aborted || deadline <= this.monotonicNow()) {
       return Promise.resolve();
     }
