Say why answers about recorded submissions need no proof

Readers of the owner could not tell why some of its answers, which are final for callers, wait for no proof of the epoch that was begun after the request. Each rests on a record that later owners keep. The guard line of a test of the gate is reworded as well. Comments only.

--- a/packages/shard-owner/src/shard_owner.ts
+++ b/packages/shard-owner/src/shard_owner.ts
@@ -363,7 +363,9 @@
   }
 
   /**
-   * Accepts a submission once it is durable. The call is idempotent by ID.
+   * Accepts a submission once it is durable. The call is idempotent by ID: a
+   * submission that was accepted stays so under every later owner, so the answer
+   * to a repeated call needs no proof of the epoch.
    * `InvalidInputError` means that the submission is too large for this owner.
    * `OverloadedError` and `UnavailableError` mean that the submission was not
    * recorded and will never run. `CancelledError` means that the shard was lost
@@ -429,7 +431,8 @@
 
   /**
    * Accepts a repeated submission that has ended, or one whose ID was cancelled
-   * before; its tasks never run.
+   * before; its tasks never run. The answer waits for the record of the ending,
+   * which no later owner changes, so it needs no proof of the epoch.
    */
   private submitEnded(
     id: string,
@@ -496,9 +499,11 @@
   }
 
   /**
-   * Cancels a submission permanently. `NotFoundError` means that it is unknown;
-   * the cancellation is recorded all the same, so that a submission with this
-   * ID that is still on its way never runs.
+   * Cancels a submission permanently. The answer waits for the record of the
+   * ending, which no later owner changes, so it needs no proof of the epoch.
+   * `NotFoundError` means that the submission is unknown, by a record or a proof
+   * after the request; the cancellation is recorded all the same, so that a
+   * submission with this ID that is still on its way never runs.
    */
   async cancel(
     id: string,
--- a/packages/shard-owner/src/submission_gate.test.ts
+++ b/packages/shard-owner/src/submission_gate.test.ts
@@ -155,7 +155,8 @@
   expect(cell.refused.filter(({queue}) => queue === 'urgent')).toEqual([]);
 });
 
-// Guards against a new owner that takes a rate it has not measured for zero.
+// Guards against a new owner that refuses work because it has measured no rate
+// yet, which must not count as zero.
 it('admits everything for 2 s as a new owner', async () => {
   const cell = LoadedCell.create({workers: 1});
   await cell.run(1_900, [{rate: 20, kind: BATCH}]);
