Bundle the daemon without the names of functions

What callers saw: 504 while the owner was at the limit of its processor.

Cause: to keep the names of functions, the bundler defines the name of each one when it is created, and closures are created for each call, answer and wait. Nothing in the product depends on a name: the bundle reads constructor.name of built-in objects and for messages only.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -110,7 +110,6 @@
   format: 'cjs',
   target: 'node20',
   minify: true,
-  keepNames: true,
   sourcemap: false,
   define: {'process.env.CARDAMOMFIELD_VERSION': JSON.stringify(version())},
   plugins: [fromSources, replaceUnusedModules],
