Read what has arrived before a call of the own owner is late

What callers saw: 504 from the owner's own host for calls that the log had taken in time.

Cause: as with calls through relays, the deadline of a call that the owner on the same host serves is a timer, and after a long turn of the event loop timers fire before the answer of the store is read.

Evidence: found while looking for the cause of the calls through relays elsewhere; the new test, in which the host is blocked for 600 ms and the answer comes within 50 ms of a deadline of 200 ms.

Change: the host reads what has arrived before it ends the call.

--- a/packages/cell-host/src/shard_gateway.test.ts
+++ b/packages/cell-host/src/shard_gateway.test.ts
@@ -1,6 +1,7 @@
+import {Worker} from 'node:worker_threads';
 import type {Queue, SubmissionSpecification} from '@cardamomfield/cell-model';
 import {SubmissionLimits} from '@cardamomfield/cell-scheduler';
-import {ManualClock} from '@cardamomfield/clock';
+import {type Clock, ManualClock, SystemClock} from '@cardamomfield/clock';
 import {
   ForbiddenError,
   OverloadedError,
@@ -9,7 +10,8 @@
   UncertainError,
 } from '@cardamomfield/errors';
 import {SilentLogger} from '@cardamomfield/logger';
-import {Left} from 'purify-ts';
+import type {ShardOwner} from '@cardamomfield/shard-owner';
+import {Left, Right} from 'purify-ts';
 import {expect, it, vi} from 'vitest';
 import {hostFixture} from './host_fixture.js';
 import {Membership} from './membership.js';
@@ -40,7 +42,11 @@
   occurrenceIntervalMilliseconds: 0,
 };
 
-function createGateway(clock: ManualClock, call: PeerClient['call']) {
+function createGateway(
+  clock: Clock,
+  call: PeerClient['call'],
+  localOwner?: ShardOwner,
+) {
   const logger = SilentLogger.create();
   const membership = Membership.create(hostFixture('host', 324), clock, logger);
   membership.updateOwner(ownerFixture('owner', 3), 'news');
@@ -48,7 +54,7 @@
     membership,
     peers: {call} as unknown as PeerClient,
     clock,
-    localOwner: () => undefined,
+    localOwner: () => localOwner,
     limits: SubmissionLimits.create({recordBytes: 1, memoryBytes: 1}),
   });
 }
@@ -146,3 +152,31 @@
   ]);
   expect({error, calls}).toEqual({error: expect.any(UncertainError), calls: 2});
 });
+
+// Guards against 504 for calls that the log took in time: on a host whose event
+// loop is busy, timers fire before the answer of the store is read.
+it('accepts an answer that arrived in time while the process was busy', async () => {
+  const store = new Worker(
+    `const {parentPort} = require('node:worker_threads');
+    parentPort.on('message', () =>
+      setTimeout(() => parentPort.postMessage('recorded'), 50));`,
+    {eval: true},
+  );
+  const cancel = () =>
+    new Promise(resolve => {
+      store.once('message', () => resolve(Right({})));
+      store.postMessage('record');
+    });
+  await cancel();
+  const clock = SystemClock.create();
+  const owner = {cancel} as unknown as ShardOwner;
+  const cancelled = createGateway(clock, vi.fn(), owner).cancel(
+    '00000000000000aa',
+    clock.monotonicNow() + 200,
+  );
+  // Timers are the first callbacks to run after an immediate.
+  await new Promise(resolve => setImmediate(resolve));
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+  expect((await cancelled).isRight()).toBe(true);
+  await store.terminate();
+});
--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -9,7 +9,7 @@
   PlacementQuestion,
   SubmissionLimits,
 } from '@cardamomfield/cell-scheduler';
-import type {Clock} from '@cardamomfield/clock';
+import {type Clock, Waker, afterPendingInput} from '@cardamomfield/clock';
 import {
   CancelledError,
   OverloadedError,
@@ -39,8 +39,6 @@
 /** A call with less time than this left is not sent: the answer would be late. */
 const MINIMUM_CALL_MILLISECONDS = 200;
 
-const CALL_SETTLED = 'the call is settled';
-
 interface ShardGatewayOptions {
   membership: Membership;
   peers: PeerClient;
@@ -259,19 +257,20 @@
   return error.details.isUnreachable !== true;
 }
 
+/** An answer that had arrived by the deadline counts, even if it is read later. */
 async function withDeadline<Value>(
   clock: Clock,
   work: Promise<Either<TypedError, Value>>,
   deadline: number,
 ): Promise<Either<TypedError, Value>> {
-  const abort = new AbortController();
+  const waker = Waker.create();
   const timedOut = clock
-    .sleepUntil(deadline, abort.signal)
+    .sleepUntil(deadline, waker)
+    .then(afterPendingInput)
     .then(() =>
       Left<TypedError, Value>(UncertainError.create('the deadline passed')),
     );
   const result = await Promise.race([work, timedOut]);
-  // Without an explicit reason, `abort` would create an error object.
-  abort.abort(CALL_SETTLED);
+  waker.wake();
   return result;
 }
