Delay only calls that follow the release of a connection

Since calls to other hosts wait until a released connection can be used again, every call waited for two turns of the event loop, also on a client that had released none. A request that a busy host forwards to the owner took two of the host's turns longer.

Calls are sent at once unless a release is pending. The call after an answer still waits: the release is noted before the answer is delivered.

--- a/packages/http-client/src/http_client.ts
+++ b/packages/http-client/src/http_client.ts
@@ -158,11 +158,11 @@
         });
       }, call.timeoutMilliseconds);
       this.waiting.set(pending, call);
-      this.scheduleSending();
+      if (!this.isSendingScheduled) this.sendWaiting();
     });
   }
 
-  /** Sends once connections that were released can be used again. */
+  /** Sends once the connection that was released can be used again. */
   private scheduleSending(): void {
     if (!this.options.startsSlowly) {
       this.sendWaiting();
@@ -272,7 +272,7 @@
     const replaced = this.group.agent;
     this.group = this.createGroup();
     setTimeout(() => void replaced.destroy(), DRAIN_MILLISECONDS).unref();
-    this.scheduleSending();
+    this.sendWaiting();
   }
 
   private createGroup(): ConnectionGroup {
