--- a/packages/cell-host/src/shard_gateway.ts
+++ b/packages/cell-host/src/shard_gateway.ts
@@ -266,7 +266,7 @@
   const waker = Waker.create();
   const timedOut = clock
     .sleepUntil(deadline, waker)
-    .then(afterPendingInput)
+    .then(() => (waker.aborted ? undefined : afterPendingInput()))
     .then(() =>
       Left<TypedError, Value>(UncertainError.create('the deadline passed')),
     );
