--- a/packages/cell-host/src/cell_host.ts
+++ b/packages/cell-host/src/cell_host.ts
@@ -108,7 +108,7 @@
    */
   private readonly endedOwnerships = new Map<number, number>();
   /** Channels through other hosts; each scheduling pass asks for all of them. */
-  private readonly remoteAdvisers = new Map<string, RemoteAdviser>();
+  private readonly remoteAdvisers = new WeakMap<HostRecord, RemoteAdviser>();
   private owner: ShardOwner | undefined;
   private isFetchingDesiredState = false;
   private readonly pauses: PauseMonitor;
@@ -544,11 +544,11 @@
   }
 
   private remoteAdviserOf(host: HostRecord): RemoteAdviser {
-    const known = this.remoteAdvisers.get(host.name);
-    if (known?.host.incarnation === host.incarnation) return known;
+    const known = this.remoteAdvisers.get(host);
+    if (known) return known;
     const {peers} = this.options;
     const adviser = RemoteAdviser.create(peers, host, this.membership);
-    this.remoteAdvisers.set(host.name, adviser);
+    this.remoteAdvisers.set(host, adviser);
     return adviser;
   }
 
--- a/packages/cell-host/src/remote_adviser.ts
+++ b/packages/cell-host/src/remote_adviser.ts
@@ -19,7 +19,7 @@
 export class RemoteAdviser implements Adviser {
   private constructor(
     private readonly peers: PeerClient,
-    readonly host: HostRecord,
+    private readonly host: HostRecord,
     private readonly membership: Membership,
   ) {}
 
