--- a/packages/cell-host/src/membership.ts
+++ b/packages/cell-host/src/membership.ts
@@ -15,8 +15,8 @@
 const MAXIMUM_OWNERS = 16;
 
 /**
- * Heartbeats count as contact for this long without an answer. An owner whose
- * calls arrive but that nobody can call serves no caller.
+ * Heartbeats count as contact for this long without an answer. An owner that
+ * sends calls and answers none cannot serve requests.
  */
 const HEARTBEATS_ONLY_MILLISECONDS = 10_000;
 
